--- /dev/null
+++ b/include/endive/base.h
@@ -0,0 +1,214 @@
+#pragma once
+/// Base library: clock, result codes, errors, logging, counters, latency histogram, stable hash, checked
+/// settings.
+
+#include "endive/result_codes.h"
+
+#include <atomic>
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace endive {
+
+using json = nlohmann::json;
+using time_point = std::chrono::steady_clock::time_point;
+using wall_time = std::chrono::system_clock::time_point;
+using duration = std::chrono::nanoseconds;
+using milliseconds = std::chrono::milliseconds;
+
+/// Program version, as printed by `--version`.
+std::string_view version_text();
+
+// ---- clock -----------------------------------------------------------------------------------------------
+
+/// Source of time. Thread safe. State machines take time points as arguments and never hold a clock.
+class clock_source {
+public:
+    clock_source() = default;
+    clock_source(const clock_source&) = delete;
+    clock_source& operator=(const clock_source&) = delete;
+    virtual ~clock_source() = default;
+
+    /// Monotonic time, for intervals and timeouts.
+    [[nodiscard]] virtual time_point now() const = 0;
+    /// Wall time, for deadlines set by people and for times kept in the platform's table.
+    [[nodiscard]] virtual wall_time wall_now() const = 0;
+};
+
+/// The clock of the operating system.
+class system_clock_source final : public clock_source {
+public:
+    [[nodiscard]] time_point now() const override { return std::chrono::steady_clock::now(); }
+    [[nodiscard]] wall_time wall_now() const override { return std::chrono::system_clock::now(); }
+};
+
+/// A clock that stands still until a test advances it. Thread safe.
+class manual_clock final : public clock_source {
+public:
+    explicit manual_clock(time_point start = time_point{std::chrono::hours{1}},
+                          wall_time wall_start = wall_time{std::chrono::hours{24 * 365 * 56}})
+        : start_{start}, wall_start_{wall_start} {}
+    [[nodiscard]] time_point now() const override { return start_ + duration{elapsed_.load()}; }
+    [[nodiscard]] wall_time wall_now() const override {
+        return wall_start_ + std::chrono::duration_cast<wall_time::duration>(duration{elapsed_.load()});
+    }
+    /// Precondition: `by` is not negative.
+    void advance(duration by) { elapsed_ += by.count(); }
+
+private:
+    time_point start_;
+    wall_time wall_start_;
+    std::atomic<duration::rep> elapsed_{0};
+};
+
+/// Milliseconds since the Unix epoch.
+[[nodiscard]] std::int64_t to_unix_ms(wall_time time);
+[[nodiscard]] wall_time from_unix_ms(std::int64_t ms);
+/// Parses an RFC 3339 time such as `2026-12-05T05:30:00Z` or with an offset; empty when malformed.
+[[nodiscard]] std::optional<wall_time> parse_rfc3339(std::string_view text);
+/// Formats as RFC 3339 in UTC with millisecond resolution.
+[[nodiscard]] std::string format_rfc3339(wall_time time);
+
+// ---- errors ----------------------------------------------------------------------------------------------
+
+/// An error with a numbered result code. `place` names where: a JSON pointer, a settings key, a row key.
+class error : public std::runtime_error {
+public:
+    error(result_code code, const std::string& message, std::string place = {})
+        : std::runtime_error{message}, code_{code}, place_{std::move(place)} {}
+    [[nodiscard]] result_code code() const noexcept { return code_; }
+    [[nodiscard]] const std::string& place() const noexcept { return place_; }
+
+private:
+    result_code code_;
+    std::string place_;
+};
+
+// ---- log -------------------------------------------------------------------------------------------------
+
+enum class log_level { debug, info, warning, error };
+
+/// Sets up logging as JSON lines on standard error. Call once from `main` before any other thread starts.
+/// `process` goes into each line.
+void configure_log(log_level minimum, std::string_view process);
+
+/// Writes one JSON line `{"time","level","process","event",...fields}`. Thread safe.
+/// Precondition: `fields` is an object or null.
+void log_event(log_level level, std::string_view event, const json& fields = {});
+
+// ---- counters --------------------------------------------------------------------------------------------
+
+/// Named monotonic counters, sharded by name. Thread safe.
+class counter_set {
+public:
+    /// Returns the counter of that name; the reference stays valid for the life of the set.
+    std::atomic<std::uint64_t>& at(std::string_view name);
+    void add(std::string_view name, std::uint64_t by = 1) {
+        at(name).fetch_add(by, std::memory_order_relaxed);
+    }
+    [[nodiscard]] std::uint64_t value(std::string_view name) const;
+    /// All counters in name order.
+    [[nodiscard]] std::map<std::string, std::uint64_t> values() const;
+
+private:
+    static constexpr std::size_t shard_count = 16;
+    struct shard {
+        mutable std::mutex mutex;
+        std::map<std::string, std::atomic<std::uint64_t>, std::less<>> counters;
+    };
+    [[nodiscard]] static std::size_t shard_of(std::string_view name);
+    shard shards_[shard_count];
+};
+
+// ---- latency histogram -----------------------------------------------------------------------------------
+
+/// Latency histogram with logarithmic bins from 1 microsecond to 1000 seconds (Boost.Histogram), relative
+/// resolution about 2%. Thread safe.
+class latency_histogram {
+public:
+    latency_histogram();
+    latency_histogram(const latency_histogram&) = delete;
+    latency_histogram& operator=(const latency_histogram&) = delete;
+    ~latency_histogram();
+
+    void record(duration value);
+    /// Adds the counts of `other`.
+    void merge(const latency_histogram& other);
+    /// Upper bound of the bin that holds quantile `q`; zero when empty. Precondition: 0 <= q <= 1.
+    [[nodiscard]] duration quantile(double q) const;
+    [[nodiscard]] std::uint64_t count() const;
+    [[nodiscard]] duration max() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+// ---- hash ------------------------------------------------------------------------------------------------
+
+/// XXH64; equal on every machine and in every release.
+[[nodiscard]] std::uint64_t stable_hash(std::string_view bytes, std::uint64_t seed = 0);
+/// 16 lower-case hexadecimal digits.
+[[nodiscard]] std::string to_hex(std::uint64_t value);
+
+// ---- settings --------------------------------------------------------------------------------------------
+
+/// Reads a JSON settings object key by key. Throws `error` with code `settings_*`, the key as place, and a
+/// message that names the value and what is allowed. Not thread safe.
+class settings_reader {
+public:
+    /// Reads and parses `path`. Throws when the file is absent, too large or not a JSON object.
+    static settings_reader from_file(const std::string& path);
+    explicit settings_reader(json object, std::string prefix = {});
+
+    [[nodiscard]] bool has(const std::string& key) const { return object_.contains(key); }
+    [[nodiscard]] std::string required_string(const std::string& key);
+    [[nodiscard]] std::string optional_string(const std::string& key, const std::string& fallback);
+    [[nodiscard]] std::int64_t optional_integer(const std::string& key, std::int64_t fallback,
+                                                std::int64_t minimum, std::int64_t maximum);
+    [[nodiscard]] std::int64_t required_integer(const std::string& key, std::int64_t minimum,
+                                                std::int64_t maximum);
+    [[nodiscard]] double optional_number(const std::string& key, double fallback, double minimum,
+                                         double maximum);
+    [[nodiscard]] bool optional_boolean(const std::string& key, bool fallback);
+    [[nodiscard]] std::vector<std::string> optional_strings(const std::string& key);
+    /// The string values of an object, such as tokens by team; empty when the key is absent.
+    [[nodiscard]] std::map<std::string, std::string> optional_string_map(const std::string& key);
+    /// An `IP:port` address.
+    [[nodiscard]] std::string required_address(const std::string& key);
+    [[nodiscard]] std::string optional_address(const std::string& key, const std::string& fallback);
+    /// Throws when the object holds a key that nothing has read.
+    void reject_unknown_keys() const;
+
+private:
+    [[nodiscard]] const json* find(const std::string& key);
+    [[nodiscard]] std::string place_of(const std::string& key) const;
+    json object_;
+    std::string prefix_;
+    std::set<std::string> known_;
+};
+
+/// An IPv4 address and a port.
+struct socket_address {
+    std::string host;
+    std::uint16_t port = 0;
+    friend auto operator<=>(const socket_address&, const socket_address&) = default;
+};
+
+/// Parses `a.b.c.d:port`; empty when malformed or the port is 0.
+[[nodiscard]] std::optional<socket_address> parse_address(std::string_view text);
+[[nodiscard]] std::string to_string(const socket_address& address);
+
+} // namespace endive
--- /dev/null
+++ b/include/endive/config.h
@@ -0,0 +1,58 @@
+#pragma once
+/// All compile-time limits and default tunables of the project.
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace endive::config {
+
+using namespace std::chrono_literals;
+
+// Questionnaire and snapshot sizes.
+inline constexpr std::size_t max_questionnaire_bytes = 4UL * 1024 * 1024;
+inline constexpr std::size_t max_json_depth = 32;
+inline constexpr std::size_t max_services = 4096;
+inline constexpr std::size_t max_routes = 8192;
+inline constexpr std::size_t max_endpoints_per_service = 2048;
+inline constexpr std::size_t max_name_length = 63;
+
+// Peer links.
+inline constexpr std::size_t max_frame_bytes = 1024UL * 1024;
+inline constexpr std::size_t snapshot_chunk_bytes = 64UL * 1024;
+inline constexpr std::size_t max_overlay_links = 12;
+inline constexpr std::size_t max_link_queue_messages = 256;
+inline constexpr auto heartbeat_interval = 1000ms;
+inline constexpr auto suspect_after = 3000ms;
+inline constexpr auto dead_after_suspect = 3000ms;
+// A clock gap this long between two ticks means that the process was paused and its leases may have lapsed.
+inline constexpr auto pause_gap = 2000ms;
+
+// Distribution.
+inline constexpr std::size_t report_fanout = 8;
+inline constexpr std::size_t max_reported_laggards = 16;
+inline constexpr std::size_t max_snapshot_serves = 4;
+inline constexpr auto min_head_poll_interval = 2000ms;
+inline constexpr double fleet_head_reads_per_second = 5.0;
+inline constexpr auto lease_duration = 10s;
+inline constexpr auto rendezvous_refresh = 20s;
+inline constexpr auto rendezvous_expiry = 60s;
+inline constexpr std::size_t rendezvous_rows_per_domain = 4;
+
+// Calls.
+inline constexpr std::size_t max_body_bytes = 64UL * 1024 * 1024;
+inline constexpr std::size_t max_header_bytes = 32UL * 1024;
+inline constexpr std::size_t max_call_depth = 32;
+inline constexpr auto default_call_timeout = 5000ms;
+inline constexpr auto connect_timeout = 250ms;
+inline constexpr auto silent_connection_timeout = 2000ms;
+inline constexpr auto fresh_connection_age = 1000ms;
+inline constexpr double retry_budget_ratio = 0.1;
+inline constexpr double max_ejected_ratio = 0.5;
+inline constexpr double connection_reserve_ratio = 0.9;
+
+// Moves.
+inline constexpr double canary_share = 0.01;
+inline constexpr double canary_share_non_idempotent = 0.005;
+
+} // namespace endive::config
--- /dev/null
+++ b/include/endive/model.h
@@ -0,0 +1,206 @@
+#pragma once
+/// Model library: questionnaire, generated snapshot, validation, delta and their JSON form.
+
+#include "endive/base.h"
+
+#include <span>
+
+namespace endive::model {
+
+/// Index of a service in `snapshot::services`.
+struct service_handle {
+    std::uint32_t index = UINT32_MAX;
+    [[nodiscard]] bool valid() const { return index != UINT32_MAX; }
+    friend auto operator<=>(const service_handle&, const service_handle&) = default;
+};
+
+/// Index of a route in `snapshot::routes`.
+struct route_handle {
+    std::uint32_t index = UINT32_MAX;
+    [[nodiscard]] bool valid() const { return index != UINT32_MAX; }
+    friend auto operator<=>(const route_handle&, const route_handle&) = default;
+};
+
+/// Relative importance of the four measures; they sum to 100.
+struct measure_weights {
+    int convergence = 25;
+    int on_time = 25;
+    int take_back = 25;
+    int control_bytes = 25;
+    friend auto operator<=>(const measure_weights&, const measure_weights&) = default;
+};
+
+/// One version of a service's program.
+struct release {
+    std::string version;
+    friend auto operator<=>(const release&, const release&) = default;
+};
+
+/// A service. `endpoints` is the expected number; the live ones announce themselves.
+struct service {
+    std::string name;
+    std::string team;
+    std::uint32_t endpoints = 1;
+    std::uint32_t slots = 12;        ///< concurrent requests of one endpoint
+    std::uint32_t connections = 120; ///< open connections of one endpoint
+    std::vector<std::string> failure_domains;
+    std::vector<release> releases;
+    std::string stable_version; ///< version that gets all traffic while no move is on
+    friend auto operator<=>(const service&, const service&) = default;
+};
+
+/// A route from method and path prefix to a service.
+struct route {
+    std::string name;
+    std::string team;
+    std::string method; ///< `GET`, `POST`, ... or `*`
+    std::string path_prefix;
+    std::string service;
+    bool idempotent = true;
+    std::uint32_t timeout_ms = 5000;
+    std::uint32_t priority = 1; ///< 0 is most important, 3 least
+    friend auto operator<=>(const route&, const route&) = default;
+};
+
+/// A move of a service's traffic from one version to another by a deadline.
+struct version_move {
+    std::string id; ///< `<service>:<to>`
+    std::string team;
+    std::string service;
+    std::string from;
+    std::string to;
+    std::int64_t deadline_unix_ms = 0;
+    friend auto operator<=>(const version_move&, const version_move&) = default;
+};
+
+/// What one team's answers produce.
+struct team_part {
+    std::string team;
+    std::string organisation;
+    std::uint64_t changed_at_version = 0; ///< snapshot version at which this part last changed
+    measure_weights weights;
+    std::vector<std::string> failure_domains;
+    std::vector<service> services;
+    std::vector<route> routes;
+    std::vector<version_move> moves;
+    friend auto operator<=>(const team_part&, const team_part&) = default;
+};
+
+/// A complete configuration. Immutable once built; parts are sorted by team, resources by name.
+struct snapshot {
+    std::uint64_t version = 0;
+    std::vector<team_part> parts;
+    friend auto operator<=>(const snapshot&, const snapshot&) = default;
+};
+
+/// Changed and removed team parts between two versions.
+struct snapshot_delta {
+    std::uint64_t from_version = 0;
+    std::uint64_t to_version = 0;
+    std::uint64_t to_digest = 0;
+    std::vector<team_part> changed;
+    std::vector<std::string> removed_teams;
+    friend auto operator<=>(const snapshot_delta&, const snapshot_delta&) = default;
+};
+
+/// Parses and checks questionnaire bytes and generates the team's part. Deterministic: equal bytes and equal
+/// `now` day give equal parts. Throws `error` with an `answers_*` code and a JSON pointer as place. Thread
+/// safe.
+[[nodiscard]] team_part generate(std::string_view questionnaire, wall_time now);
+
+/// Replaces (or adds) `part` in `base` and gives the result version `base.version + 1`.
+[[nodiscard]] snapshot merge_part(const snapshot& base, team_part part);
+
+/// Checks every reference of the snapshot: each route's service, each move's service and versions, unique
+/// names, no two routes with the same method and prefix. Throws `error` with a `snapshot_*` code. Thread
+/// safe.
+void validate(const snapshot& candidate);
+
+/// Canonical JSON bytes (sorted keys, no blanks).
+[[nodiscard]] std::string encode(const snapshot& value);
+[[nodiscard]] std::string encode(const snapshot_delta& value);
+[[nodiscard]] std::string encode(const team_part& value);
+/// Throws `error` with `snapshot_malformed` on any unexpected content.
+[[nodiscard]] snapshot decode_snapshot(std::string_view bytes);
+[[nodiscard]] snapshot_delta decode_delta(std::string_view bytes);
+[[nodiscard]] team_part decode_part(std::string_view bytes);
+/// Stable hash of the canonical bytes.
+[[nodiscard]] std::uint64_t digest(const snapshot& value);
+
+[[nodiscard]] snapshot_delta make_delta(const snapshot& from, const snapshot& to);
+/// Throws `snapshot_delta_mismatch` when `base` is not the delta's origin or the result's digest differs.
+[[nodiscard]] snapshot apply_delta(const snapshot& base, const snapshot_delta& delta);
+
+/// A validated snapshot indexed for lookups on the request path. Immutable; thread safe.
+class routing_table {
+public:
+    /// Precondition: `validate(source)` passed.
+    explicit routing_table(snapshot source);
+    [[nodiscard]] std::uint64_t version() const { return source_.version; }
+    [[nodiscard]] const snapshot& source() const { return source_; }
+    /// Longest prefix wins; an exact method goes before `*`. Invalid handle when nothing matches.
+    [[nodiscard]] route_handle find_route(std::string_view method, std::string_view path) const;
+    [[nodiscard]] service_handle find_service(std::string_view name) const;
+    [[nodiscard]] std::span<const service> services() const { return services_; }
+    [[nodiscard]] std::span<const route> routes() const { return routes_; }
+    [[nodiscard]] const service& at(service_handle handle) const { return services_.at(handle.index); }
+    [[nodiscard]] const route& at(route_handle handle) const { return routes_.at(handle.index); }
+    [[nodiscard]] service_handle service_of(route_handle handle) const {
+        return route_services_.at(handle.index);
+    }
+
+private:
+    snapshot source_;
+    std::vector<service> services_; ///< sorted by name
+    std::vector<route> routes_;     ///< sorted by descending prefix length, exact methods first
+    std::vector<service_handle> route_services_;
+};
+
+// ---- values shared by distribution, calls and moves -------------------------------------------------------
+
+enum class endpoint_state : std::uint8_t { starting, serving, draining, leaving };
+
+/// A live backend server as its daemon announces it.
+struct endpoint_info {
+    std::string address; ///< `IP:port` of the backend server's HTTP port
+    std::string relay;   ///< `IP:port` of the peer port of the daemon beside it
+    std::string service;
+    std::string version;
+    std::string failure_domain;
+    std::uint32_t slots = 12;
+    std::uint32_t connections = 120;
+    endpoint_state state = endpoint_state::starting;
+    friend auto operator<=>(const endpoint_info&, const endpoint_info&) = default;
+};
+
+enum class call_outcome : std::uint8_t { success, server_error, timeout, connection_failed, shed, cancelled };
+
+/// One finished attempt at a backend server, as the request path saw it.
+struct call_observation {
+    std::string service;
+    std::string version;
+    std::string route;
+    bool idempotent = true;
+    call_outcome outcome = call_outcome::success;
+    duration latency{0};
+    /// The backend server reported a cold start, or it is younger than its warm-up time.
+    bool cold = false;
+    friend auto operator<=>(const call_observation&, const call_observation&) = default;
+};
+
+/// Share of a service's traffic for one version, from 0 to 1.
+struct version_share {
+    std::string version;
+    double share = 1.0;
+    friend auto operator<=>(const version_share&, const version_share&) = default;
+};
+
+/// How one service's traffic divides over its versions. Held versions are absent. Shares sum to 1, or the
+/// list is empty when no version may get traffic.
+struct traffic_split {
+    std::string service;
+    std::vector<version_share> shares;
+    friend auto operator<=>(const traffic_split&, const traffic_split&) = default;
+};
+
+} // namespace endive::model
