--- a/include/endive/config.h
+++ b/include/endive/config.h
@@ -54,5 +54,15 @@
 // Moves.
 inline constexpr double canary_share = 0.01;
 inline constexpr double canary_share_non_idempotent = 0.005;
+// Time after 100% in which the old version stays warm and a take-back is still possible.
+inline constexpr auto move_watch_duration = 120s;
+// Reports cross up to four levels of the report tree, so a hold is reviewed on evidence this much later.
+inline constexpr auto hold_review_delay = 3000ms;
+// A write without a result is resolved by reading the row back after this time.
+inline constexpr auto move_write_timeout = 5000ms;
+inline constexpr auto move_write_retry = 2000ms;
+// Deciding stops this long before the lease ends, so that a decision in flight stays inside the lease.
+inline constexpr auto lease_safety_margin = 1000ms;
+inline constexpr std::size_t max_move_history = 64;
 
 } // namespace endive::config
--- a/include/endive/model.h
+++ b/include/endive/model.h
@@ -195,11 +195,12 @@
     friend auto operator<=>(const version_share&, const version_share&) = default;
 };
 
-/// How one service's traffic divides over its versions. Held versions are absent. Shares sum to 1, or the
-/// list is empty when no version may get traffic.
+/// How one service's traffic divides over its versions, per route class. Held versions are absent. Shares of
+/// a list sum to 1, or the list is empty when no version may get traffic.
 struct traffic_split {
     std::string service;
-    std::vector<version_share> shares;
+    std::vector<version_share> shares;                     ///< idempotent routes
+    std::vector<version_share> non_idempotent_shares = {}; ///< non-idempotent routes
     friend auto operator<=>(const traffic_split&, const traffic_split&) = default;
 };
 
