--- /dev/null
+++ b/src/moves/guard.cpp
@@ -0,0 +1,112 @@
+#include "moves/codec.h"
+
+namespace endive::moves {
+
+namespace {
+
+/// A move that is done has no old version to go back to.
+bool is_done(const record* move) {
+    if (move == nullptr) {
+        return false;
+    }
+    const auto payload = decode_directive(move->payload);
+    return payload && payload->state == to_string(move_state::done);
+}
+
+/// Connection failures alone may mean that only this daemon cannot reach the version's endpoints; the owner
+/// judges those on the fleet's evidence.
+std::optional<signal_evidence> cause_to_hold(const verdict_tests& tests) {
+    for (const auto& evidence : tests.all()) {
+        if (evidence.what != signal::connections && evidence.evidence >= 1) {
+            return evidence;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void local_guard::set_moves(std::span<const model::version_move> moves,
+                            const std::map<std::string, model::measure_weights>& weights_by_team) {
+    std::map<std::string, watched, std::less<>> kept;
+    for (const auto& move : moves) {
+        const auto known = watched_.find(move.id);
+        if (known != watched_.end() && known->second.move.from == move.from) {
+            kept.emplace(move.id, std::move(known->second));
+            continue;
+        }
+        const auto weights = weights_by_team.find(move.team);
+        const auto settings = override_.value_or(
+            settings_for(weights == weights_by_team.end() ? model::measure_weights{} : weights->second));
+        kept.emplace(move.id, watched{move, verdict_tests{settings, settings.hold_threshold}});
+    }
+    watched_ = std::move(kept);
+}
+
+std::vector<record> local_guard::on_evidence(const std::vector<paired_evidence>& evidence, double seconds,
+                                             wall_time now) {
+    for (const auto& item : evidence) {
+        const auto entry = watched_.find(item.move_id);
+        if (entry != watched_.end()) {
+            entry->second.tests.add(item.route, item.idempotent, item.old_counts, item.new_counts, seconds);
+        }
+    }
+    std::vector<record> holds;
+    for (const auto& [id, entry] : watched_) {
+        if (held(entry.move.service, entry.move.to) || is_done(records_.find(directive_kind, id))) {
+            continue;
+        }
+        if (const auto cause = cause_to_hold(entry.tests)) {
+            holds.push_back(make_hold(entry, *cause, now));
+            records_.apply(holds.back());
+        }
+    }
+    return holds;
+}
+
+record local_guard::make_hold(const watched& entry, const signal_evidence& cause, wall_time now) const {
+    hold_payload payload{entry.move.service,
+                         entry.move.to,
+                         hold_state::held,
+                         member_id_,
+                         "own evidence crossed the hold threshold",
+                         cause,
+                         to_unix_ms(now)};
+    // The owner compares these counts with those of the other daemons over the same seconds.
+    if (const auto recent = entry.tests.recent(cause.route, cause.what)) {
+        payload.evidence.old_total = recent->old_total;
+        payload.evidence.old_bad = recent->old_bad;
+        payload.evidence.new_total = recent->new_total;
+        payload.evidence.new_bad = recent->new_bad;
+    }
+    const auto key = hold_key(entry.move.service, entry.move.to);
+    const auto* last = records_.find(hold_kind, key);
+    return {std::string{hold_kind},
+            key,
+            last == nullptr ? 0 : last->epoch,
+            last == nullptr ? 1 : last->sequence + 1,
+            false,
+            encode(payload)};
+}
+
+bool local_guard::on_record(const record& received) {
+    if (!records_.apply(received)) {
+        return false;
+    }
+    if (received.kind != hold_kind) {
+        return true;
+    }
+    for (auto& [id, entry] : watched_) {
+        const bool concerned = hold_key(entry.move.service, entry.move.to) == received.key;
+        if (concerned && !held(entry.move.service, entry.move.to)) {
+            entry.tests.reset(); // the released evidence must not hold the version a second time
+        }
+    }
+    return true;
+}
+
+bool local_guard::held(std::string_view service, std::string_view version) const {
+    return hold_in_force(records_.find(hold_kind, hold_key(service, version)));
+}
+
+} // namespace endive::moves
--- /dev/null
+++ b/src/moves/rules.cpp
@@ -0,0 +1,190 @@
+#include "endive/moves.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace endive::moves {
+
+namespace {
+
+/// The old version's rate of bad requests now: a slow window, raised by a fast one when the rate climbs, plus
+/// one standard error for the uncertainty of the estimate.
+class baseline_rate {
+public:
+    explicit baseline_rate(double floor) : floor_{floor} {}
+
+    void add(double total, double bad, double seconds) {
+        if (total <= 0) {
+            return;
+        }
+        decay(slow_total_, slow_bad_, seconds / slow_seconds, total, bad);
+        decay(fast_total_, fast_bad_, seconds / fast_seconds, total, bad);
+    }
+
+    [[nodiscard]] double value() const {
+        const double slow = (slow_bad_ + floor_ * prior_requests) / (slow_total_ + prior_requests);
+        const double fast = (fast_bad_ + slow * fast_prior_requests) / (fast_total_ + fast_prior_requests);
+        const double rate = std::max(slow, fast);
+        const double error = std::sqrt(rate * (1 - rate) / (slow_total_ + prior_requests));
+        return std::clamp(rate + error, floor_, max_rate);
+    }
+
+private:
+    static constexpr double slow_seconds = 30;
+    static constexpr double fast_seconds = 2;
+    static constexpr double prior_requests = 20;
+    static constexpr double fast_prior_requests = 40;
+    static constexpr double max_rate = 0.98;
+
+    static void decay(double& total, double& bad, double steps, double new_total, double new_bad) {
+        const double factor = std::exp(-steps);
+        total = total * factor + new_total;
+        bad = bad * factor + new_bad;
+    }
+
+    double floor_;
+    double slow_total_ = 0;
+    double slow_bad_ = 0;
+    double fast_total_ = 0;
+    double fast_bad_ = 0;
+};
+
+/// Log likelihood ratio of `odds_ratio` times the old version's odds against the old version's rate.
+double log_ratio(const paired_counts& counts, double old_rate, double odds_ratio) {
+    const double odds = old_rate / (1 - old_rate) * odds_ratio;
+    const double rate = odds / (1 + odds);
+    const double good = counts.new_total - counts.new_bad;
+    return counts.new_bad * std::log(rate / old_rate) + good * std::log((1 - rate) / (1 - old_rate));
+}
+
+/// Two-proportion z test over windows of fixed length, judged at the end of each.
+class fixed_window_z final : public sequential_rule {
+public:
+    explicit fixed_window_z(const rule_settings& settings) : settings_{settings} {}
+
+    void add(const paired_counts& counts) override {
+        window_.old_total += counts.old_total;
+        window_.old_bad += counts.old_bad;
+        window_.new_total += counts.new_total;
+        window_.new_bad += counts.new_bad;
+        elapsed_ += counts.seconds;
+        if (elapsed_ >= window_seconds) {
+            evidence_ = judge();
+            window_ = {};
+            elapsed_ = 0;
+        }
+    }
+    [[nodiscard]] double evidence() const override { return evidence_; }
+
+private:
+    static constexpr double window_seconds = 10;
+    static constexpr double min_bad = 4;
+
+    [[nodiscard]] double judge() const {
+        if (window_.new_bad < min_bad) {
+            return 0;
+        }
+        const double total = window_.old_total + window_.new_total;
+        const double pooled =
+            std::clamp((window_.old_bad + window_.new_bad) / total, settings_.rate_floor, 0.98);
+        const double old_rate = window_.old_total > 0 ? window_.old_bad / window_.old_total : 0;
+        const double baseline = std::max(old_rate, settings_.rate_floor);
+        const double old_total = std::max(window_.old_total, 1.0);
+        const double error = std::sqrt(pooled * (1 - pooled) * (1 / window_.new_total + 1 / old_total));
+        const double z = (window_.new_bad / window_.new_total - baseline) / error;
+        // A z of x has a tail of about exp(-x * x / 2), which makes the threshold in nats comparable.
+        return z <= 0 ? 0 : z * z / 2 / settings_.threshold;
+    }
+
+    rule_settings settings_;
+    paired_counts window_;
+    double elapsed_ = 0;
+    double evidence_ = 0;
+};
+
+/// Wald's test against one odds ratio, started anew whenever it accepts "not worse".
+class sprt final : public sequential_rule {
+public:
+    explicit sprt(const rule_settings& settings) : settings_{settings}, baseline_{settings.rate_floor} {}
+
+    void add(const paired_counts& counts) override {
+        baseline_.add(counts.old_total, counts.old_bad, counts.seconds);
+        sum_ += log_ratio(counts, baseline_.value(), odds_ratio);
+        if (sum_ <= -accept) {
+            sum_ = 0;
+        }
+    }
+    [[nodiscard]] double evidence() const override { return std::max(0.0, sum_ / settings_.threshold); }
+
+private:
+    static constexpr double odds_ratio = 4;
+    static constexpr double accept = 4; // nats: 2% chance to accept a version that is this much worse
+
+    rule_settings settings_;
+    baseline_rate baseline_;
+    double sum_ = 0;
+};
+
+/// Mixture over odds ratios, each a likelihood ratio that restarts at 1 when it falls below. The restart
+/// makes the test follow faults that begin late.
+class mixture_e_process final : public sequential_rule {
+public:
+    explicit mixture_e_process(const rule_settings& settings)
+        : settings_{settings}, baseline_{settings.rate_floor} {}
+
+    void add(const paired_counts& counts) override {
+        baseline_.add(counts.old_total, counts.old_bad, counts.seconds);
+        if (counts.new_total <= 0) {
+            return;
+        }
+        const double old_rate = baseline_.value();
+        for (std::size_t i = 0; i < odds_ratios.size(); ++i) {
+            sums_[i] = std::max(0.0, sums_[i] + log_ratio(counts, old_rate, odds_ratios[i]));
+        }
+    }
+
+    [[nodiscard]] double evidence() const override {
+        const double top = *std::max_element(sums_.begin(), sums_.end());
+        double mean = 0;
+        for (const double sum : sums_) {
+            mean += std::exp(sum - top);
+        }
+        mean /= static_cast<double>(sums_.size());
+        return std::max(0.0, top + std::log(mean)) / settings_.threshold;
+    }
+
+private:
+    static constexpr std::array<double, 5> odds_ratios{2, 4, 12, 60, 600};
+
+    rule_settings settings_;
+    baseline_rate baseline_;
+    std::array<double, odds_ratios.size()> sums_{};
+};
+
+} // namespace
+
+std::string_view to_string(rule_kind kind) {
+    switch (kind) {
+    case rule_kind::fixed_window_z:
+        return "fixed_window_z";
+    case rule_kind::sprt:
+        return "sprt";
+    case rule_kind::mixture_e_process:
+        return "mixture_e_process";
+    }
+    return "unknown";
+}
+
+std::unique_ptr<sequential_rule> make_rule(const rule_settings& settings) {
+    switch (settings.kind) {
+    case rule_kind::fixed_window_z:
+        return std::make_unique<fixed_window_z>(settings);
+    case rule_kind::sprt:
+        return std::make_unique<sprt>(settings);
+    case rule_kind::mixture_e_process:
+        break;
+    }
+    return std::make_unique<mixture_e_process>(settings);
+}
+
+} // namespace endive::moves
