Batch the old version's counts in the tests of a move

Cause: each daemon evaluated every signal of every route ten times a second, mostly without a request to the new version. Change: old counts wait up to a second for a request to the new version; evidence is computed once an update.

--- a/src/moves/guard.cpp
+++ b/src/moves/guard.cpp
@@ -16,6 +16,9 @@
 /// Connection failures alone may mean that only this daemon cannot reach the version's endpoints; the owner
 /// judges those on the fleet's evidence.
 std::optional<signal_evidence> cause_to_hold(const verdict_tests& tests) {
+    if (!tests.bad()) {
+        return std::nullopt;
+    }
     for (const auto& evidence : tests.all()) {
         if (evidence.what != signal::connections && evidence.evidence >= 1) {
             return evidence;
--- a/src/moves/rules.cpp
+++ b/src/moves/rules.cpp
@@ -141,24 +141,27 @@
         for (std::size_t i = 0; i < odds_ratios.size(); ++i) {
             sums_[i] = std::max(0.0, sums_[i] + log_ratio(counts, old_rate, odds_ratios[i]));
         }
+        evidence_ = log_mean() / settings_.threshold;
     }
 
-    [[nodiscard]] double evidence() const override {
+    [[nodiscard]] double evidence() const override { return evidence_; }
+
+private:
+    static constexpr std::array<double, 5> odds_ratios{2, 4, 12, 60, 600};
+
+    [[nodiscard]] double log_mean() const {
         const double top = *std::max_element(sums_.begin(), sums_.end());
         double mean = 0;
         for (const double sum : sums_) {
             mean += std::exp(sum - top);
         }
-        mean /= static_cast<double>(sums_.size());
-        return std::max(0.0, top + std::log(mean)) / settings_.threshold;
+        return std::max(0.0, top + std::log(mean / static_cast<double>(sums_.size())));
     }
 
-private:
-    static constexpr std::array<double, 5> odds_ratios{2, 4, 12, 60, 600};
-
     rule_settings settings_;
     baseline_rate baseline_;
     std::array<double, odds_ratios.size()> sums_{};
+    double evidence_ = 0;
 };
 
 } // namespace
--- a/src/moves/verdict.cpp
+++ b/src/moves/verdict.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace endive::moves {
 
@@ -71,21 +72,20 @@
     signal_test(signal what, const rule_settings& settings)
         : what_{what}, settings_{settings}, rule_{make_rule(settings)} {}
 
-    void add(paired_counts counts) {
-        note(counts);
-        if (counts.old_total > 0) {
-            new_since_old_ = 0;
-        } else {
-            new_since_old_ += counts.new_total;
-        }
-        if (new_since_old_ > old_gone_after && what_ != signal::cold_failures) {
-            const double rate = remembered_rate(what_, old_rate_);
-            counts.old_total = 20 * counts.new_total;
-            counts.old_bad = rate * counts.old_total;
+    void add(const paired_counts& increment) {
+        pending_.old_total += increment.old_total;
+        pending_.old_bad += increment.old_bad;
+        pending_.new_total += increment.new_total;
+        pending_.new_bad += increment.new_bad;
+        pending_.seconds += increment.seconds;
+        // Counts of the old version alone change no verdict, and a canary's requests are rare.
+        if (pending_.new_total > 0 || pending_.seconds >= max_pending_seconds) {
+            flush();
         }
-        rule_->add(counts);
     }
 
+    [[nodiscard]] double strength() const { return rule_->evidence(); }
+
     [[nodiscard]] signal_evidence evidence(const std::string& route) const {
         return {route,
                 what_,
@@ -100,9 +100,32 @@
     void reset() {
         rule_ = make_rule(settings_);
         recent_ = {};
+        pending_ = no_counts;
     }
 
 private:
+    static constexpr paired_counts no_counts{0, 0, 0, 0, 0};
+    static constexpr double max_pending_seconds = 1;
+
+    void flush() {
+        paired_counts counts = std::exchange(pending_, no_counts);
+        if (counts.old_total + counts.new_total <= 0) {
+            return;
+        }
+        note(counts);
+        if (counts.old_total > 0) {
+            new_since_old_ = 0;
+        } else {
+            new_since_old_ += counts.new_total;
+        }
+        if (new_since_old_ > old_gone_after && what_ != signal::cold_failures) {
+            const double rate = remembered_rate(what_, old_rate_);
+            counts.old_total = 20 * counts.new_total;
+            counts.old_bad = rate * counts.old_total;
+        }
+        rule_->add(counts);
+    }
+
     void note(const paired_counts& counts) {
         const double factor = std::exp(-counts.seconds / recent_seconds);
         recent_.old_total = recent_.old_total * factor + counts.old_total;
@@ -121,6 +144,7 @@
     signal what_;
     rule_settings settings_;
     std::unique_ptr<sequential_rule> rule_;
+    paired_counts pending_ = no_counts;
     paired_counts recent_;
     paired_counts total_;
     double old_rate_ = 0;
@@ -161,16 +185,17 @@
 }
 
 signal_evidence verdict_tests::strongest() const {
-    signal_evidence best;
+    const signal_test* best = nullptr;
+    const std::string* best_route = nullptr;
     for (const auto& [route, tests] : state_->routes) {
         for (const auto& test : tests) {
-            auto candidate = test.evidence(route);
-            if (candidate.evidence > best.evidence) {
-                best = std::move(candidate);
+            if (test.strength() > (best == nullptr ? 0 : best->strength())) {
+                best = &test;
+                best_route = &route;
             }
         }
     }
-    return best;
+    return best == nullptr ? signal_evidence{} : best->evidence(*best_route);
 }
 
 std::vector<signal_evidence> verdict_tests::all() const {
