Weigh evidence by the old version's traffic at the same moment

Cause: good versions were taken back for slowness when a load burst began at a share of 50% or while the old version lost its traffic, because its rate was estimated from earlier requests; and small harmless latency differences added up against the smallest odds ratio of 2. Change: the baseline follows the interval itself, evidence counts in proportion to the old version's part of the traffic, a separate test compares with the remembered rate when that part is under 5%, and the smallest odds ratio is 3.

--- a/src/moves/rules.cpp
+++ b/src/moves/rules.cpp
@@ -7,46 +7,59 @@
 
 namespace {
 
-/// The old version's rate of bad requests now: a slow window, raised by a fast one when the rate climbs, plus
-/// one standard error for the uncertainty of the estimate.
+/// The old version's rate of bad requests at this moment: a slow window, raised by a fast one and by the
+/// interval itself when the rate climbs, plus one standard error for the uncertainty of the estimate.
 class baseline_rate {
 public:
     explicit baseline_rate(double floor) : floor_{floor} {}
 
-    void add(double total, double bad, double seconds) {
-        if (total <= 0) {
-            return;
+    void add(const paired_counts& counts) {
+        interval_ = counts;
+        const double fast = std::exp(-counts.seconds / fast_seconds);
+        fast_.old_total = fast_.old_total * fast + counts.old_total;
+        fast_.old_bad = fast_.old_bad * fast + counts.old_bad;
+        const double moment = std::exp(-counts.seconds / moment_seconds);
+        moment_old_ = moment_old_ * moment + counts.old_total;
+        moment_new_ = moment_new_ * moment + counts.new_total;
+        if (counts.old_total > 0) {
+            const double slow = std::exp(-counts.seconds / slow_seconds);
+            slow_total_ = slow_total_ * slow + counts.old_total;
+            slow_bad_ = slow_bad_ * slow + counts.old_bad;
         }
-        decay(slow_total_, slow_bad_, seconds / slow_seconds, total, bad);
-        decay(fast_total_, fast_bad_, seconds / fast_seconds, total, bad);
     }
 
     [[nodiscard]] double value() const {
         const double slow = (slow_bad_ + floor_ * prior_requests) / (slow_total_ + prior_requests);
-        const double fast = (fast_bad_ + slow * fast_prior_requests) / (fast_total_ + fast_prior_requests);
-        const double rate = std::max(slow, fast);
+        const auto shrunk = [&](const paired_counts& c) {
+            return (c.old_bad + slow * fast_prior_requests) / (c.old_total + fast_prior_requests);
+        };
+        const double rate = std::max({slow, shrunk(fast_), shrunk(interval_)});
         const double error = std::sqrt(rate * (1 - rate) / (slow_total_ + prior_requests));
         return std::clamp(rate + error, floor_, max_rate);
     }
 
+    /// Part of the evidence that the comparison supports: with few old requests at the same moment, many new
+    /// ones say little, because a load burst shows in the new version's counts first.
+    [[nodiscard]] double weight() const {
+        const double total = moment_old_ + moment_new_;
+        return total > 0 ? moment_old_ / total : 0;
+    }
+
 private:
     static constexpr double slow_seconds = 30;
-    static constexpr double fast_seconds = 2;
+    static constexpr double fast_seconds = 1;
+    static constexpr double moment_seconds = 0.4; // the old version's traffic may stop between two intervals
     static constexpr double prior_requests = 20;
-    static constexpr double fast_prior_requests = 40;
+    static constexpr double fast_prior_requests = 10;
     static constexpr double max_rate = 0.98;
 
-    static void decay(double& total, double& bad, double steps, double new_total, double new_bad) {
-        const double factor = std::exp(-steps);
-        total = total * factor + new_total;
-        bad = bad * factor + new_bad;
-    }
-
     double floor_;
     double slow_total_ = 0;
     double slow_bad_ = 0;
-    double fast_total_ = 0;
-    double fast_bad_ = 0;
+    double moment_old_ = 0;
+    double moment_new_ = 0;
+    paired_counts fast_;
+    paired_counts interval_;
 };
 
 /// Log likelihood ratio of `odds_ratio` times the old version's odds against the old version's rate.
@@ -108,8 +121,8 @@
     explicit sprt(const rule_settings& settings) : settings_{settings}, baseline_{settings.rate_floor} {}
 
     void add(const paired_counts& counts) override {
-        baseline_.add(counts.old_total, counts.old_bad, counts.seconds);
-        sum_ += log_ratio(counts, baseline_.value(), odds_ratio);
+        baseline_.add(counts);
+        sum_ += baseline_.weight() * log_ratio(counts, baseline_.value(), odds_ratio);
         if (sum_ <= -accept) {
             sum_ = 0;
         }
@@ -133,13 +146,15 @@
         : settings_{settings}, baseline_{settings.rate_floor} {}
 
     void add(const paired_counts& counts) override {
-        baseline_.add(counts.old_total, counts.old_bad, counts.seconds);
+        baseline_.add(counts);
         if (counts.new_total <= 0) {
             return;
         }
         const double old_rate = baseline_.value();
+        const double weight = baseline_.weight();
         for (std::size_t i = 0; i < odds_ratios.size(); ++i) {
-            sums_[i] = std::max(0.0, sums_[i] + log_ratio(counts, old_rate, odds_ratios[i]));
+            const double step = weight * log_ratio(counts, old_rate, odds_ratios[i]);
+            sums_[i] = std::max(0.0, sums_[i] + step);
         }
         evidence_ = log_mean() / settings_.threshold;
     }
@@ -147,7 +162,9 @@
     [[nodiscard]] double evidence() const override { return evidence_; }
 
 private:
-    static constexpr std::array<double, 5> odds_ratios{2, 4, 12, 60, 600};
+    // Harmless builds differ by up to about 1.3 in odds; a smallest ratio of 2 took one good version in 20
+    // back.
+    static constexpr std::array<double, 5> odds_ratios{3, 6, 20, 100, 600};
 
     [[nodiscard]] double log_mean() const {
         const double top = *std::max_element(sums_.begin(), sums_.end());
--- a/src/moves/verdict.cpp
+++ b/src/moves/verdict.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 constexpr std::size_t signal_count = 4;
-// Requests to the new version in a row, without one to the old version, after which the old version counts as
-// gone: at a share of 50% that many happen by chance once in a million.
-constexpr double old_gone_after = 20;
+// With a smaller part of the traffic on the old version the comparison alone is too slow.
+constexpr double least_old_part = 0.05;
+constexpr double concurrent_seconds = 2;
 constexpr double recent_seconds = 10;
 
 /// Rates below these floors are never held against the new version.
@@ -30,8 +30,12 @@
     return 0.30;
 }
 
-/// Baseline when the old version has no traffic any more, so that load cannot be told from the comparison.
-double remembered_rate(signal what, double rate) {
+/// Baseline when the old version has hardly any traffic, so that load cannot be told from the comparison.
+double remembered_rate(signal what, const paired_counts& memory) {
+    constexpr double prior_requests = 30;
+    // After a restart nothing is remembered; backend servers that restart as well fail some requests.
+    const double prior_rate = what == signal::failures ? 0.05 : floor_of(what);
+    const double rate = (memory.old_bad + prior_rate * prior_requests) / (memory.old_total + prior_requests);
     switch (what) {
     case signal::failures:
         return std::min(0.5, 3 * rate + 0.02);
@@ -70,7 +74,7 @@
 class signal_test {
 public:
     signal_test(signal what, const rule_settings& settings)
-        : what_{what}, settings_{settings}, rule_{make_rule(settings)} {}
+        : what_{what}, settings_{settings}, rule_{make_rule(settings)}, margin_rule_{make_rule(settings)} {}
 
     void add(const paired_counts& increment) {
         pending_.old_total += increment.old_total;
@@ -84,21 +88,16 @@
         }
     }
 
-    [[nodiscard]] double strength() const { return rule_->evidence(); }
+    [[nodiscard]] double strength() const { return std::max(rule_->evidence(), margin_rule_->evidence()); }
 
     [[nodiscard]] signal_evidence evidence(const std::string& route) const {
-        return {route,
-                what_,
-                total_.old_total,
-                total_.old_bad,
-                total_.new_total,
-                total_.new_bad,
-                rule_->evidence()};
+        return {route, what_, total_.old_total, total_.old_bad, total_.new_total, total_.new_bad, strength()};
     }
     [[nodiscard]] const paired_counts& recent() const { return recent_; }
 
     void reset() {
         rule_ = make_rule(settings_);
+        margin_rule_ = make_rule(settings_);
         recent_ = {};
         pending_ = no_counts;
     }
@@ -113,17 +112,13 @@
             return;
         }
         note(counts);
-        if (counts.old_total > 0) {
-            new_since_old_ = 0;
-        } else {
-            new_since_old_ += counts.new_total;
-        }
-        if (new_since_old_ > old_gone_after && what_ != signal::cold_failures) {
-            const double rate = remembered_rate(what_, old_rate_);
+        rule_->add(counts);
+        if (old_part() < least_old_part || what_ == signal::cold_failures) {
+            const double rate = remembered_rate(what_, memory_);
             counts.old_total = 20 * counts.new_total;
             counts.old_bad = rate * counts.old_total;
+            margin_rule_->add(counts);
         }
-        rule_->add(counts);
     }
 
     void note(const paired_counts& counts) {
@@ -136,19 +131,28 @@
         total_.old_bad += counts.old_bad;
         total_.new_total += counts.new_total;
         total_.new_bad += counts.new_bad;
-        if (counts.old_total > 0) {
-            old_rate_ = recent_.old_bad / recent_.old_total;
+        const double factor_now = std::exp(-counts.seconds / concurrent_seconds);
+        concurrent_old_ = concurrent_old_ * factor_now + counts.old_total;
+        concurrent_new_ = concurrent_new_ * factor_now + counts.new_total;
+        if (old_part() >= least_old_part) {
+            memory_ = recent_;
         }
     }
 
+    [[nodiscard]] double old_part() const {
+        return concurrent_old_ / std::max(concurrent_old_ + concurrent_new_, 1e-9);
+    }
+
     signal what_;
     rule_settings settings_;
-    std::unique_ptr<sequential_rule> rule_;
+    std::unique_ptr<sequential_rule> rule_;        ///< against the old version at the same moment
+    std::unique_ptr<sequential_rule> margin_rule_; ///< against the remembered rate of the old version
     paired_counts pending_ = no_counts;
     paired_counts recent_;
     paired_counts total_;
-    double old_rate_ = 0;
-    double new_since_old_ = 0;
+    paired_counts memory_; ///< while the old version still had traffic
+    double concurrent_old_ = 0;
+    double concurrent_new_ = 0;
 };
 
 } // namespace
