Test all routes of a move together

Cause: evidence of a fault on every route was split over the routes' own tests, which cost seconds at a share of 1%. Change: one more test over all routes, with the old version's rates weighted to the new version's mix of routes and each route in proportion to its old traffic in the same interval.

--- a/include/endive/moves.h
+++ b/include/endive/moves.h
@@ -200,6 +200,9 @@
 };
 [[nodiscard]] decision_settings settings_for(const model::measure_weights& weights);
 
+/// Name of the test over all routes of a move.
+inline constexpr std::string_view pooled_route = "*";
+
 /// Tests of one move over its routes and signals.
 class verdict_tests {
 public:
@@ -208,10 +211,10 @@
     verdict_tests(verdict_tests&&) noexcept;
     verdict_tests& operator=(verdict_tests&&) noexcept;
 
-    /// Adds the counts of one interval. With no old traffic (after 100%) the new version is compared with the
-    /// last known rates of the old one plus a margin for load.
-    void add(const std::string& route, bool idempotent, const evidence_counts& old_counts,
-             const evidence_counts& new_counts, double seconds);
+    /// Adds the counts of one interval, all routes at once. Besides each route alone, the routes together are
+    /// tested under the name `pooled_route`. With no old traffic (after 100%) the new version is compared
+    /// with the last known rates of the old one plus a margin for load.
+    void add(std::span<const paired_evidence> routes, double seconds);
     /// The strongest evidence; its `evidence` is 0 when there is none.
     [[nodiscard]] signal_evidence strongest() const;
     [[nodiscard]] std::vector<signal_evidence> all() const;
--- a/src/moves/guard.cpp
+++ b/src/moves/guard.cpp
@@ -48,11 +48,12 @@
 
 std::vector<record> local_guard::on_evidence(const std::vector<paired_evidence>& evidence, double seconds,
                                              wall_time now) {
+    std::map<std::string_view, std::vector<paired_evidence>> by_move;
     for (const auto& item : evidence) {
-        const auto entry = watched_.find(item.move_id);
-        if (entry != watched_.end()) {
-            entry->second.tests.add(item.route, item.idempotent, item.old_counts, item.new_counts, seconds);
-        }
+        by_move[item.move_id].push_back(item);
+    }
+    for (auto& [id, entry] : watched_) {
+        entry.tests.add(by_move[id], seconds);
     }
     std::vector<record> holds;
     for (const auto& [id, entry] : watched_) {
--- a/src/moves/machine.cpp
+++ b/src/moves/machine.cpp
@@ -391,7 +391,7 @@
 
 actions move_machine::on_evidence(const counter_map& increments, time_point now, wall_time wall) {
     state_->begin(now, wall);
-    using route_map = std::map<std::string, tracked_move::route_counts>;
+    using route_map = std::map<std::string, paired_evidence>;
     std::map<std::string, route_map> by_move;
     for (const auto& [text, counters] : increments) {
         const auto key = parse_evidence_key(text);
@@ -400,6 +400,7 @@
             continue;
         }
         auto& counts = by_move[key->move_id][key->route];
+        counts.route = key->route;
         const auto route = state_->idempotent_routes.find(key->route);
         counts.idempotent = route == state_->idempotent_routes.end() || route->second;
         const bool is_old = key->version == entry->second.move.from;
@@ -411,7 +412,11 @@
             : 1.0;
     state_->last_evidence = now;
     for (auto& [id, entry] : state_->moves) {
-        entry.add_evidence(by_move[id], seconds, state_->context_of(entry));
+        std::vector<paired_evidence> routes;
+        for (auto& [route, counts] : by_move[id]) {
+            routes.push_back(std::move(counts));
+        }
+        entry.add_evidence(routes, seconds, state_->context_of(entry));
         state_->contain(entry);
     }
     return state_->finish();
--- a/src/moves/tracked_move.cpp
+++ b/src/moves/tracked_move.cpp
@@ -175,17 +175,17 @@
     row.configured_deadline_unix_ms = move.deadline_unix_ms;
 }
 
-void tracked_move::add_evidence(const std::map<std::string, route_counts>& routes, double seconds,
+void tracked_move::add_evidence(std::span<const paired_evidence> routes, double seconds,
                                 const decision_context& context) {
     double requests = 0;
-    for (const auto& [route, counts] : routes) {
-        tests.add(route, counts.idempotent, counts.old_counts, counts.new_counts, seconds);
-        auto& entry = progress[route];
-        entry.idempotent = counts.idempotent;
-        entry.old_requests += static_cast<double>(counts.old_counts.requests);
-        entry.new_requests += static_cast<double>(counts.new_counts.requests);
-        requests += static_cast<double>(counts.old_counts.requests + counts.new_counts.requests);
-        new_requests += counts.new_counts.requests + counts.new_counts.cold_requests;
+    tests.add(routes, seconds);
+    for (const auto& item : routes) {
+        auto& entry = progress[item.route];
+        entry.idempotent = item.idempotent;
+        entry.old_requests += static_cast<double>(item.old_counts.requests);
+        entry.new_requests += static_cast<double>(item.new_counts.requests);
+        requests += static_cast<double>(item.old_counts.requests + item.new_counts.requests);
+        new_requests += item.new_counts.requests + item.new_counts.cold_requests;
     }
     const double factor = std::exp(-seconds / rate_window_seconds);
     rate_requests = rate_requests * factor + requests;
--- a/src/moves/tracked_move.h
+++ b/src/moves/tracked_move.h
@@ -49,13 +49,8 @@
     std::optional<time_point> inconclusive_since;
     std::string risk;
 
-    /// Adds the counts of one interval; `routes` maps a route to its (old, new) counts.
-    struct route_counts {
-        evidence_counts old_counts;
-        evidence_counts new_counts;
-        bool idempotent = true;
-    };
-    void add_evidence(const std::map<std::string, route_counts>& routes, double seconds,
+    /// Adds the counts of one interval.
+    void add_evidence(std::span<const paired_evidence> routes, double seconds,
                       const decision_context& context);
     void begin_step(time_point now);
     /// The row as operators should see it.
--- a/src/moves/verdict.cpp
+++ b/src/moves/verdict.cpp
@@ -70,6 +70,38 @@
             number(new_counts.cold_requests), number(new_counts.cold_failures), seconds};
 }
 
+/// Sum over the routes. The old version's bad requests are weighted to the new version's mix of routes, which
+/// differs because non-idempotent routes have a smaller share.
+class pooled_counts {
+public:
+    void add(const paired_counts& counts, const paired_counts& recent) {
+        constexpr double prior_requests = 5;
+        const double recent_rate = recent.old_total > 0 ? recent.old_bad / recent.old_total : 0;
+        const double rate =
+            (counts.old_bad + recent_rate * prior_requests) / (counts.old_total + prior_requests);
+        sum_.old_total += counts.old_total;
+        sum_.old_bad += counts.old_bad;
+        // A route without old requests in this interval says nothing about this moment.
+        const double weight =
+            counts.new_total > 0 ? counts.old_total / (counts.old_total + counts.new_total) : 0;
+        sum_.new_total += weight * counts.new_total;
+        sum_.new_bad += weight * counts.new_bad;
+        expected_ += rate * weight * counts.new_total;
+    }
+    [[nodiscard]] paired_counts result(double seconds) const {
+        paired_counts counts = sum_;
+        counts.seconds = seconds;
+        if (counts.new_total > 0) {
+            counts.old_bad = counts.old_total * expected_ / counts.new_total;
+        }
+        return counts;
+    }
+
+private:
+    paired_counts sum_;
+    double expected_ = 0; ///< bad requests of the new version if it were like the old one
+};
+
 /// One signal of one route.
 class signal_test {
 public:
@@ -161,6 +193,16 @@
     decision_settings settings;
     double threshold = 0;
     std::map<std::string, std::vector<signal_test>, std::less<>> routes;
+
+    std::vector<signal_test>& tests_of(const std::string& route, bool idempotent) {
+        auto& tests = routes[route];
+        const double cut = idempotent ? 0 : settings.non_idempotent_threshold_cut;
+        for (std::size_t i = tests.size(); i < signal_count; ++i) {
+            const auto what = static_cast<signal>(i);
+            tests.emplace_back(what, rule_settings{settings.rule, threshold - cut, floor_of(what)});
+        }
+        return tests;
+    }
 };
 
 verdict_tests::verdict_tests(const decision_settings& settings, double threshold)
@@ -172,19 +214,19 @@
 verdict_tests::verdict_tests(verdict_tests&&) noexcept = default;
 verdict_tests& verdict_tests::operator=(verdict_tests&&) noexcept = default;
 
-void verdict_tests::add(const std::string& route, bool idempotent, const evidence_counts& old_counts,
-                        const evidence_counts& new_counts, double seconds) {
-    auto& tests = state_->routes[route];
-    if (tests.empty()) {
-        const double cut = idempotent ? 0 : state_->settings.non_idempotent_threshold_cut;
+void verdict_tests::add(std::span<const paired_evidence> routes, double seconds) {
+    std::array<pooled_counts, signal_count> pooled;
+    for (const auto& item : routes) {
+        auto& tests = state_->tests_of(item.route, item.idempotent);
         for (std::size_t i = 0; i < signal_count; ++i) {
-            const auto what = static_cast<signal>(i);
-            tests.emplace_back(what,
-                               rule_settings{state_->settings.rule, state_->threshold - cut, floor_of(what)});
+            const auto counts = counts_of(static_cast<signal>(i), item.old_counts, item.new_counts, seconds);
+            tests[i].add(counts);
+            pooled[i].add(counts, tests[i].recent());
         }
     }
+    auto& tests = state_->tests_of(std::string{pooled_route}, true);
     for (std::size_t i = 0; i < signal_count; ++i) {
-        tests[i].add(counts_of(static_cast<signal>(i), old_counts, new_counts, seconds));
+        tests[i].add(pooled[i].result(seconds));
     }
 }
 
