--- a/bench/moves_simulation.h
+++ b/bench/moves_simulation.h
@@ -430,7 +430,7 @@
         if (s_.kind == fault::none) {
             return (result_.completed_at > 0 && t_ > result_.completed_at + watched) || t_ > s_.deadline + 5;
         }
-        const double last_chance = std::max(result_.completed_at, s_.onset) + 115;
+        const double last_chance = std::max(result_.completed_at, s_.onset) + 100;
         return t_ > s_.deadline + 5 || (result_.completed_at > 0 && t_ > last_chance);
     }
 
--- a/include/endive/config.h
+++ b/include/endive/config.h
@@ -55,7 +55,12 @@
 inline constexpr double canary_share = 0.01;
 inline constexpr double canary_share_non_idempotent = 0.005;
 // Time after 100% in which the old version stays warm and a take-back is still possible.
-inline constexpr auto move_watch_duration = 120s;
+// Faults that begin minutes after the start of a version are seen only while the watch lasts.
+inline constexpr auto move_watch_duration = 300s;
+// During the watch this part of the idempotent requests stays on the old version, so that load bursts and
+// faults can be told apart by comparison. It ends this long before the deadline at the latest.
+inline constexpr double watch_control_share = 0.02;
+inline constexpr auto watch_control_reserve = 30s;
 // Reports cross up to four levels of the report tree, so a hold is reviewed on evidence this much later.
 inline constexpr auto hold_review_delay = 3000ms;
 // A write without a result is resolved by reading the row back after this time.
--- a/include/endive/moves.h
+++ b/include/endive/moves.h
@@ -328,6 +328,7 @@
     move_state resume_state = move_state::pending; ///< state before `paused` or `expired`
     double share = 0;
     double share_non_idempotent = 0;
+    double control_share = 0;   ///< part of the idempotent requests kept on the old version during the watch
     std::uint64_t epoch = 0;    ///< lease epoch of the last owner that wrote
     std::uint64_t revision = 0; ///< precondition of operators' commands; grows with each write
     std::int64_t created_unix_ms = 0;
--- a/src/moves/row.cpp
+++ b/src/moves/row.cpp
@@ -98,6 +98,7 @@
                 {"resume_state", to_string(value.resume_state)},
                 {"share", value.share},
                 {"share_non_idempotent", value.share_non_idempotent},
+                {"control_share", value.control_share},
                 {"epoch", value.epoch},
                 {"revision", value.revision},
                 {"created_unix_ms", value.created_unix_ms},
@@ -130,6 +131,7 @@
         row.resume_state = state_at(object, "resume_state");
         row.share = object.at("share").get<double>();
         row.share_non_idempotent = object.at("share_non_idempotent").get<double>();
+        row.control_share = object.at("control_share").get<double>();
         row.epoch = object.at("epoch").get<std::uint64_t>();
         row.revision = object.at("revision").get<std::uint64_t>();
         row.created_unix_ms = integer("created_unix_ms");
@@ -164,6 +166,7 @@
     row.state = move_state::taken_back;
     row.share = 0;
     row.share_non_idempotent = 0;
+    row.control_share = 0;
     row.taken_back_unix_ms = now_ms;
     row.deadline_risk.clear();
     row.reason = reason;
@@ -230,7 +233,7 @@
                           row.service,
                           row.from,
                           row.to,
-                          row.share,
+                          std::max(0.0, row.share - row.control_share),
                           row.share_non_idempotent,
                           std::string{to_string(row.state)}};
     return {std::string{directive_kind}, row.id, row.epoch, row.revision, false, encode(value)};
--- a/src/moves/rules.cpp
+++ b/src/moves/rules.cpp
@@ -47,10 +47,10 @@
 
 private:
     static constexpr double slow_seconds = 30;
-    static constexpr double fast_seconds = 1;
+    static constexpr double fast_seconds = 2;
     static constexpr double moment_seconds = 0.4; // the old version's traffic may stop between two intervals
     static constexpr double prior_requests = 20;
-    static constexpr double fast_prior_requests = 10;
+    static constexpr double fast_prior_requests = 3;
     static constexpr double max_rate = 0.98;
 
     double floor_;
--- a/src/moves/tracked_move.cpp
+++ b/src/moves/tracked_move.cpp
@@ -277,9 +277,12 @@
             return next;
         }
     }
+    const auto reserve_ms = duration_cast<milliseconds>(config::watch_control_reserve).count();
+    const bool control_ends = context.wall_ms >= row.deadline_unix_ms - reserve_ms;
     if (row.state == move_state::complete) {
         move_row next = row;
         next.state = move_state::watching;
+        next.control_share = control_ends ? 0 : config::watch_control_share;
         next.reason = "all traffic moved; the old version stays warm";
         return next;
     }
@@ -287,9 +290,16 @@
     if (!held && row.state == move_state::watching && context.wall_ms >= row.completed_unix_ms + watch_ms) {
         move_row next = row;
         next.state = move_state::done;
+        next.control_share = 0;
         next.reason = "watched without a fault";
         return next;
     }
+    if (row.control_share > 0 && control_ends) {
+        move_row next = row;
+        next.control_share = 0;
+        next.reason = "all traffic moved; control requests ended before the deadline";
+        return next;
+    }
     if (kind_of_risk(row.deadline_risk) != kind_of_risk(move.risk)) {
         move_row next = row;
         next.deadline_risk = move.risk;
--- a/src/moves/verdict.cpp
+++ b/src/moves/verdict.cpp
@@ -22,8 +22,9 @@
     case signal::slow:
         return 0.08;
     case signal::connections:
-        return 0.30; // one dead endpoint of a few refuses up to a third of the connections until it is
-                     // ejected
+        // One dead endpoint of three refuses a third of the connections, but only for the seconds until it is
+        // ejected, which is too short to add up against this floor.
+        return 0.20;
     case signal::cold_failures:
         return 0.30; // a cold start may fail some requests; only a version that fails most of them is bad
     }
@@ -74,11 +75,9 @@
 /// differs because non-idempotent routes have a smaller share.
 class pooled_counts {
 public:
-    void add(const paired_counts& counts, const paired_counts& recent) {
-        constexpr double prior_requests = 5;
-        const double recent_rate = recent.old_total > 0 ? recent.old_bad / recent.old_total : 0;
-        const double rate =
-            (counts.old_bad + recent_rate * prior_requests) / (counts.old_total + prior_requests);
+    void add(const paired_counts& counts) {
+        // Unsmoothed: any pull towards earlier rates lets the begin of a load burst look like a fault.
+        const double rate = counts.old_total > 0 ? counts.old_bad / counts.old_total : 0;
         sum_.old_total += counts.old_total;
         sum_.old_bad += counts.old_bad;
         // A route without old requests in this interval says nothing about this moment.
@@ -221,7 +220,7 @@
         for (std::size_t i = 0; i < signal_count; ++i) {
             const auto counts = counts_of(static_cast<signal>(i), item.old_counts, item.new_counts, seconds);
             tests[i].add(counts);
-            pooled[i].add(counts, tests[i].recent());
+            pooled[i].add(counts);
         }
     }
     auto& tests = state_->tests_of(std::string{pooled_route}, true);
