Make property failures fail their test case; test lapsed and stale leases

Cause: rc::check returns its result, and without REQUIRE a falsified property passed. Change: REQUIRE around each property, and two examples for leases.

--- a/tests/moves/evidence_test.cpp
+++ b/tests/moves/evidence_test.cpp
@@ -87,7 +87,7 @@
 
 // Guards against evidence that is lost or counted twice between reports.
 TEST_CASE("increments add up to the counts of a naive reference") {
-    rc::check([] {
+    REQUIRE(rc::check([] {
         const auto calls = *rc::gen::container<std::vector<model::call_observation>>(rc::gen::exec(any_call));
         evidence_collector collector;
         collector.set_moves(one_move);
@@ -104,7 +104,7 @@
             counts.slow = 0;
             RC_ASSERT(counts == naive_count(calls, version));
         }
-    });
+    }));
 }
 
 // Guards against an estimate of the old version's p90 that does not follow a load change.
--- a/tests/moves/machine_test.cpp
+++ b/tests/moves/machine_test.cpp
@@ -131,6 +131,36 @@
     REQUIRE(f.shared.stored().epoch == 2);
 }
 
+// Guards against a raise after the lease ended while the table still answers.
+TEST_CASE("a lease that is not renewed freezes the shares") {
+    fixture f;
+    f.run(3);
+    const double frozen = f.shared.share();
+    for (int i = 0; i < 60; ++i) {
+        f.shared.clock.advance(1s);
+        f.first.evidence(590, 2, 10, 0);
+        f.first.tick();
+    }
+    REQUIRE(frozen > 0);
+    REQUIRE(f.shared.share() == frozen);
+    REQUIRE(f.shared.stored().share == frozen);
+}
+
+// Guards against an owner with a stale lease that writes over the row of its successor.
+TEST_CASE("an owner that reads a row of a newer epoch steps down") {
+    fixture f;
+    f.run(3);
+    f.second.configure(f.active);
+    f.shared.clock.advance(11s);
+    f.second.lease(2);
+    f.second.tick();
+    REQUIRE(f.shared.stored().epoch == 2);
+    f.first.tick(); // sees the gap of its clock
+    f.run(60);
+    REQUIRE(f.shared.stored().epoch == 2);
+    REQUIRE_FALSE(f.first.machine.is_owner(f.shared.clock.now()));
+}
+
 // Guards against two operators who both believe that they won.
 TEST_CASE("of two racing operators one wins and the other gets a conflict") {
     fixture f;
@@ -193,7 +223,7 @@
 // Guards against a raise by an owner that is not the last one, in any interleaving of owners, outages and
 // faults.
 TEST_CASE("random histories keep the safety properties") {
-    rc::check([] {
+    REQUIRE(rc::check([] {
         fixture f;
         f.second.configure(f.active);
         std::uint64_t epoch = 1;
@@ -243,5 +273,5 @@
             // store.
             RC_ASSERT(f.shared.store_up || step == 0 || f.shared.share() <= before + 1e-9);
         }
-    });
+    }));
 }
--- a/tests/moves/split_test.cpp
+++ b/tests/moves/split_test.cpp
@@ -102,7 +102,7 @@
 
 // Guards against a late or reordered record that brings a taken-back version back.
 TEST_CASE("after a take-back no split has the version, whatever arrives in whatever order") {
-    rc::check([] {
+    REQUIRE(rc::check([] {
         auto records = *rc::gen::container<std::vector<record>>(rc::gen::exec(any_record));
         const auto position = *rc::gen::inRange<std::size_t>(0, records.size() + 1);
         records.insert(records.begin() + static_cast<std::ptrdiff_t>(position),
@@ -124,12 +124,12 @@
             }
             RC_ASSERT(std::abs(sum - 1) < 1e-9);
         }
-    });
+    }));
 }
 
 // Guards against daemons that saw the same records in another order and split traffic differently.
 TEST_CASE("the winning records do not depend on the order of arrival") {
-    rc::check([] {
+    REQUIRE(rc::check([] {
         const auto records = *rc::gen::container<std::vector<record>>(rc::gen::exec(any_record));
         record_book book;
         for (const auto& item : records) {
@@ -142,7 +142,7 @@
             RC_ASSERT(item.final || (item.epoch == other.epoch && item.sequence == other.sequence));
         }
         RC_ASSERT(book.all().size() == expected.size());
-    });
+    }));
 }
 
 // Guards against a hold that outlives its release, and a release by an owner that knows no newer epoch.
