Measure delays against an observer who does not know the fault

Cause: the first definition of detectable tells the observer the kind, size and route of the fault, which no rule can know. Cold requests that time out count for neither, as for all others. One more example on held versions.

--- a/bench/moves_fleet.h
+++ b/bench/moves_fleet.h
@@ -91,7 +91,8 @@
     std::uint64_t bad_requests = 0;   ///< to the new version since its fault began
     std::uint64_t total_requests = 0; ///< of the service until the take-back or the end
     double planned_requests = 0;      ///< of the service until the deadline
-    double detectable_at = -1;        ///< -1: never
+    double detectable_at = -1;        ///< by an observer who knows the fault; -1: never
+    double blind_detectable_at = -1;  ///< by an observer who knows neither kind, size nor route of the fault
     double last_bad_request = -1;
     std::uint64_t holds_released = 0;
     std::string reason;
@@ -161,6 +162,41 @@
     return s;
 }
 
+/// Sees every request to the new version at once and knows the old version's true rates, but not the fault.
+class blind_observer {
+public:
+    /// `shift` is the log of the latency relative to a good version's median; empty for a failed request.
+    /// Returns true when the odds for some fault reach a million to one.
+    bool add(std::size_t route, double failure_rate, std::optional<double> shift) {
+        bool found = false;
+        for (auto* sums : {&sums_[route], &sums_[route_count]}) {
+            for (std::size_t i = 0; i < hypotheses; ++i) {
+                (*sums)[i] = std::max(0.0, (*sums)[i] + increment(i, failure_rate, shift));
+                found =
+                    found || (*sums)[i] >= detectable_log_ratio + std::log(hypotheses * (route_count + 1.0));
+            }
+        }
+        return found;
+    }
+
+private:
+    static constexpr std::array<double, 5> odds_ratios{3, 6, 20, 100, 600};
+    static constexpr std::array<double, 4> latency_factors{1.5, 2, 4, 8};
+    static constexpr std::size_t hypotheses = odds_ratios.size() + latency_factors.size();
+
+    static double increment(std::size_t i, double failure_rate, std::optional<double> shift) {
+        if (i < odds_ratios.size()) {
+            const double odds = failure_rate / (1 - failure_rate) * odds_ratios.at(i);
+            const double rate = odds / (1 + odds);
+            return shift ? std::log((1 - rate) / (1 - failure_rate)) : std::log(rate / failure_rate);
+        }
+        const double factor = std::log(latency_factors.at(i - odds_ratios.size()));
+        return shift ? (2 * *shift - factor) * factor / (2 * latency_sigma * latency_sigma) : 0;
+    }
+
+    std::array<std::array<double, hypotheses>, route_count + 1> sums_{};
+};
+
 /// The table of the platform: conditional writes, outages, lost responses.
 class simulated_table {
 public:
--- a/bench/moves_simulation.h
+++ b/bench/moves_simulation.h
@@ -48,6 +48,7 @@
     struct due_observation {
         double at = 0;
         std::size_t daemon = 0;
+        std::size_t route = 0;
         model::call_observation value;
     };
 
@@ -205,7 +206,10 @@
                 return false;
             }
             daemons_[due.daemon].collector.add(due.value);
-            judge_detectable(due.value, 0);
+            if (!due.value.cold) {
+                judge_detectable(due.value, 0);
+                judge_blind(due.value, due.route, 0);
+            }
             return true;
         });
     }
@@ -282,13 +286,16 @@
                                                              : model::call_outcome::server_error;
         }
         if (call.outcome == model::call_outcome::timeout) {
-            late_.push_back({t_ + timeout_seconds, index, call});
+            late_.push_back({t_ + timeout_seconds, index, route, call});
             return;
         }
         daemons_[index].collector.add(call);
         if (faulty && !cold) {
             judge_detectable(call, ms);
         }
+        if (side == 1 && !cold && t_ >= s_.onset) {
+            judge_blind(call, route, ms);
+        }
     }
 
     double latency(std::size_t side, bool faulty, bool cold) {
@@ -340,6 +347,19 @@
         }
     }
 
+    void judge_blind(const model::call_observation& call, std::size_t route, double ms) {
+        if (result_.blind_detectable_at >= 0 || s_.kind == fault::none) {
+            return;
+        }
+        std::optional<double> shift;
+        if (call.outcome == model::call_outcome::success) {
+            shift = std::log(ms / (latency_median_ms * s_.new_latency * (burst_ ? s_.burst_latency : 1)));
+        }
+        if (observer_.add(route, failure_probability(1, false, false), shift)) {
+            result_.blind_detectable_at = t_;
+        }
+    }
+
     void after_requests(std::size_t index, std::uint64_t tick) {
         auto& daemon = daemons_[index];
         if (who_.rule) {
@@ -455,6 +475,7 @@
     std::vector<due_observation> late_;
     std::unique_ptr<moves::move_machine> machine_;
     naive_owner naive_;
+    blind_observer observer_;
     simulated_table table_;
     outcome result_;
 };
--- a/tests/moves/split_test.cpp
+++ b/tests/moves/split_test.cpp
@@ -145,6 +145,21 @@
     }));
 }
 
+// Guards against requests without a version while one of the two is still allowed.
+TEST_CASE("a held version leaves its traffic to the other version of the move") {
+    split_table table;
+    table.set_snapshot(snapshot_with({{"s:b", "t", "s", "a", "b", 1}}));
+    table.on_record(move_record("a", "b", 1.0, 1, 1));
+    table.on_record(hold_record("b", hold_state::held, 1, 1, false));
+    REQUIRE(table.splits().front().shares == std::vector<model::version_share>{{"a", 1.0}});
+    table.on_record(hold_record("b", hold_state::released, 2, 1, false));
+    table.on_record(move_record("a", "b", 0.4, 2, 1));
+    table.on_record(hold_record("a", hold_state::taken_back, 2, 1, true));
+    REQUIRE(table.splits().front().shares == std::vector<model::version_share>{{"b", 1.0}});
+    table.on_record(hold_record("b", hold_state::taken_back, 2, 2, true));
+    REQUIRE(table.splits().front().shares.empty());
+}
+
 // Guards against a hold that outlives its release, and a release by an owner that knows no newer epoch.
 TEST_CASE("a hold is released by a higher epoch only") {
     split_table table;
