--- a/include/endive/config.h
+++ b/include/endive/config.h
@@ -16,6 +16,16 @@
 inline constexpr std::size_t max_routes = 8192;
 inline constexpr std::size_t max_endpoints_per_service = 2048;
 inline constexpr std::size_t max_name_length = 63;
+inline constexpr std::size_t max_text_length = 200;
+inline constexpr std::size_t max_path_prefix_length = 512;
+inline constexpr std::size_t max_regions = 16;
+inline constexpr std::size_t max_failure_domains = 64;
+inline constexpr std::size_t max_releases_per_service = 64;
+inline constexpr std::size_t max_moves = 4096;
+inline constexpr std::uint32_t max_slots = 4096;
+inline constexpr std::uint32_t max_connections = 65535;
+inline constexpr std::uint32_t max_timeout_ms = 600'000;
+inline constexpr std::uint32_t max_priority = 3;
 
 // Peer links.
 inline constexpr std::size_t max_frame_bytes = 1024UL * 1024;
@@ -51,6 +61,14 @@
 inline constexpr double max_ejected_ratio = 0.5;
 inline constexpr double connection_reserve_ratio = 0.9;
 
+// Administration API.
+inline constexpr std::uint32_t max_admin_connections = 64;
+inline constexpr auto admin_idle_timeout = 30s;
+inline constexpr std::size_t max_admin_body_bytes = 16UL * 1024;
+inline constexpr std::size_t max_idempotency_key_length = 128;
+inline constexpr std::size_t default_history_entries = 50;
+inline constexpr std::size_t max_history_entries = 1000;
+
 // Moves.
 inline constexpr double canary_share = 0.01;
 inline constexpr double canary_share_non_idempotent = 0.005;
--- a/include/endive/model.h
+++ b/include/endive/model.h
@@ -4,6 +4,7 @@
 #include "endive/base.h"
 
 #include <span>
+#include <unordered_map>
 
 namespace endive::model {
 
@@ -73,13 +74,21 @@
     friend auto operator<=>(const version_move&, const version_move&) = default;
 };
 
+/// A region and the failure domains in it.
+struct region {
+    std::string name;
+    std::vector<std::string> failure_domains;
+    friend auto operator<=>(const region&, const region&) = default;
+};
+
 /// What one team's answers produce.
 struct team_part {
     std::string team;
     std::string organisation;
     std::uint64_t changed_at_version = 0; ///< snapshot version at which this part last changed
     measure_weights weights;
-    std::vector<std::string> failure_domains;
+    std::vector<std::string> failure_domains; ///< of all regions
+    std::vector<region> regions;
     std::vector<service> services;
     std::vector<route> routes;
     std::vector<version_move> moves;
@@ -108,12 +117,19 @@
 /// safe.
 [[nodiscard]] team_part generate(std::string_view questionnaire, wall_time now);
 
-/// Replaces (or adds) `part` in `base` and gives the result version `base.version + 1`.
+/// Replaces (or adds) `part` in `base` and gives the result version `base.version + 1`, which becomes the
+/// part's `changed_at_version`.
 [[nodiscard]] snapshot merge_part(const snapshot& base, team_part part);
 
+/// The team's part, or null. Valid while `value` lives.
+[[nodiscard]] const team_part* find_part(const snapshot& value, std::string_view team);
+
+/// True when the parts are equal apart from `changed_at_version`.
+[[nodiscard]] bool same_content(const team_part& a, const team_part& b);
+
 /// Checks every reference of the snapshot: each route's service, each move's service and versions, unique
-/// names, no two routes with the same method and prefix. Throws `error` with a `snapshot_*` code. Thread
-/// safe.
+/// names, no two routes with the same method and prefix, order of parts and resources. Throws `error` with a
+/// `snapshot_*` code and a place such as `/parts/<team>/routes/<name>`. Thread safe.
 void validate(const snapshot& candidate);
 
 /// Canonical JSON bytes (sorted keys, no blanks).
@@ -131,14 +147,35 @@
 /// Throws `snapshot_delta_mismatch` when `base` is not the delta's origin or the result's digest differs.
 [[nodiscard]] snapshot apply_delta(const snapshot& base, const snapshot_delta& delta);
 
+enum class change_kind : std::uint8_t { added, removed, changed };
+
+/// One difference between two parts.
+struct resource_change {
+    change_kind kind = change_kind::changed;
+    std::string resource; ///< such as `service bacheca`, `route post-deposit` or `weights`
+    std::string before;   ///< canonical JSON; empty when added
+    std::string after;    ///< canonical JSON; empty when removed
+    friend auto operator<=>(const resource_change&, const resource_change&) = default;
+};
+
+/// Differences from `before` to `after`, apart from `changed_at_version`, in order of resource.
+[[nodiscard]] std::vector<resource_change> compare_parts(const team_part& before, const team_part& after);
+
 /// A validated snapshot indexed for lookups on the request path. Immutable; thread safe.
 class routing_table {
 public:
     /// Precondition: `validate(source)` passed.
     explicit routing_table(snapshot source);
+    routing_table(const routing_table&) = delete;
+    routing_table& operator=(const routing_table&) = delete;
+    routing_table(routing_table&&) = default;
+    routing_table& operator=(routing_table&&) = default;
+    ~routing_table() = default;
     [[nodiscard]] std::uint64_t version() const { return source_.version; }
     [[nodiscard]] const snapshot& source() const { return source_; }
-    /// Longest prefix wins; an exact method goes before `*`. Invalid handle when nothing matches.
+    /// Longest prefix wins; at equal prefixes an exact method goes before `*`. A prefix matches at a path
+    /// segment boundary only: `/a` matches `/a`, `/a/b` and `/a?x`, but not `/ab`. Invalid handle when
+    /// nothing matches. Does not allocate.
     [[nodiscard]] route_handle find_route(std::string_view method, std::string_view path) const;
     [[nodiscard]] service_handle find_service(std::string_view name) const;
     [[nodiscard]] std::span<const service> services() const { return services_; }
@@ -152,8 +189,15 @@
 private:
     snapshot source_;
     std::vector<service> services_; ///< sorted by name
-    std::vector<route> routes_;     ///< sorted by descending prefix length, exact methods first
+    std::vector<route> routes_;     ///< sorted by (path prefix, method)
     std::vector<service_handle> route_services_;
+    struct prefix_range {
+        std::uint32_t first = 0;
+        std::uint32_t count = 0;
+    };
+    /// Routes of each prefix. The keys are views into `routes_`, which never changes after construction.
+    std::unordered_map<std::string_view, prefix_range> by_prefix_;
+    std::size_t longest_prefix_ = 0;
 };
 
 // ---- values shared by distribution, calls and moves -------------------------------------------------------
--- a/include/endive/result_codes.h
+++ b/include/endive/result_codes.h
@@ -34,6 +34,10 @@
     answers_unsupported_format = 1018,
     answers_conflicting_routes = 1019,
     answers_same_version = 1020,
+    answers_duplicate_key = 1021,
+    answers_conflicting_moves = 1022,
+    answers_bad_path = 1023,
+    answers_bad_method = 1024,
 
     // 1100: snapshot
     snapshot_malformed = 1101,
@@ -41,6 +45,8 @@
     snapshot_digest_mismatch = 1103,
     snapshot_older_version = 1104,
     snapshot_delta_mismatch = 1105,
+    snapshot_duplicate_name = 1106,
+    snapshot_conflicting_routes = 1107,
 
     // 2000: settings
     settings_unreadable = 2001,
@@ -70,6 +76,9 @@
     lease_epoch_stale = 4007,
     admin_not_found = 4008,
     admin_bad_request = 4009,
+    admin_body_too_large = 4010,
+    admin_method_not_allowed = 4011,
+    admin_forbidden = 4012,
 
     // 5000: calls
     call_no_route = 5001,
