Add the platform library: HTTP and in-memory table and object store

Cause: the daemon needs clients for the table and the object store whose errors tell whether a write may have taken effect. Change: pool of reused libcurl handles; 503 and failed connects mean nothing was written, a time-out or cut after the request left means unknown. libcurl repeats a request by itself when a reused connection closes without a response; writes refuse the rewind (with a body) or use a fresh connection (without one). With either guard against the repeat removed, the lost-response test fails (the server sees 3 requests, or the code is 3002 in place of 3006). Conclusion: a lost response is always reported as unknown, never as a lost race.

--- a/include/endive/config.h
+++ b/include/endive/config.h
@@ -51,6 +51,11 @@
 inline constexpr double max_ejected_ratio = 0.5;
 inline constexpr double connection_reserve_ratio = 0.9;
 
+// Platform client.
+// Handles kept for reuse by each store; a burst above this opens extra handles and closes them afterwards.
+inline constexpr std::size_t max_idle_platform_handles = 16;
+inline constexpr std::size_t max_platform_answer_bytes = 64UL * 1024 * 1024;
+
 // Moves.
 inline constexpr double canary_share = 0.01;
 inline constexpr double canary_share_non_idempotent = 0.005;
--- a/include/endive/platform.h
+++ b/include/endive/platform.h
@@ -2,7 +2,13 @@
 /// Platform library: the transactional table and the object store, as interfaces and as HTTP clients.
 ///
 /// Protocol: RFC 9110 conditional requests. Rows: `GET|PUT|DELETE /rows/<key>` with `ETag`, `If-Match` and
-/// `If-None-Match: *`; `GET /rows?prefix=<prefix>`. Objects: `GET|PUT /objects/<key>`.
+/// `If-None-Match: *`; `GET /rows?prefix=<prefix>` answers a JSON list of `{"key","value","etag"}`, so row
+/// values are UTF-8 text. Objects: `GET|PUT /objects/<key>`. Keys are percent-encoded except for `/`. Status
+/// 503 means that nothing was written.
+///
+/// Counters of the HTTP clients: `platform_reads`, `platform_writes`, `platform_connections_opened`, and
+/// `platform_error_<kind>` with kind `unavailable`, `timeout`, `precondition_failed`, `bad_answer` and
+/// `outcome_unknown`.
 
 #include "endive/base.h"
 
--- /dev/null
+++ b/src/platform/outcome.h
@@ -0,0 +1,24 @@
+#pragma once
+/// Classification of a finished HTTP transfer to the platform.
+
+#include "endive/base.h"
+
+#include <curl/curl.h>
+
+namespace endive::platform {
+
+/// What is known of a transfer when it ends.
+struct transfer_end {
+    CURLcode curl_result = CURLE_OK;
+    bool request_sent = false; ///< at least one byte of the request left this process
+    bool is_write = false;
+    long status = 0; ///< HTTP status, 0 when no response arrived
+};
+
+/// The error of a transfer; empty for a success, and for status 404, which the stores interpret themselves.
+[[nodiscard]] std::optional<result_code> classify(const transfer_end& end);
+
+/// Counter name of an error of the platform.
+[[nodiscard]] std::string error_counter(result_code code);
+
+} // namespace endive::platform
