--- /dev/null
+++ b/include/endive/backends.h
@@ -0,0 +1,175 @@
+#pragma once
+/// Backends library: pooled HTTP connections to backend servers, the announcements of the local backend
+/// server, and probes of health and load.
+
+#include "endive/calls.h"
+
+namespace endive::backends {
+
+/// One header field.
+struct header {
+    std::string name;
+    std::string value;
+    friend auto operator<=>(const header&, const header&) = default;
+};
+
+/// A request to a backend server. Views must outlive the exchange.
+struct backend_request {
+    std::string_view method;
+    std::string_view target; ///< path and query
+    std::vector<header> headers;
+    std::string_view body;
+    bool idempotent = true;
+    bool fresh_connection = false;
+    time_point deadline;
+};
+
+/// Status, headers and framing of a response.
+struct response_head {
+    std::uint32_t status = 0;
+    std::vector<header> headers; ///< hop-by-hop fields removed
+    calls::response_framing framing;
+};
+
+/// One attempt in progress. Used by one thread.
+class exchange {
+public:
+    exchange() = default;
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+    virtual ~exchange() = default;
+
+    /// Makes progress without blocking. Returns true once the response has ended or failed.
+    virtual bool step() = 0;
+    /// Blocks until there is progress to make, `limit` has passed, `other` (may be null) has progress to
+    /// make, or `watched_socket` (may be -1) becomes readable.
+    virtual void wait(duration limit, exchange* other, int watched_socket) = 0;
+    /// Body bytes received and not yet taken; moves them out. Receiving stops while more than the buffer
+    /// limit waits here.
+    [[nodiscard]] virtual std::string take_body() = 0;
+    [[nodiscard]] virtual std::size_t buffered() const = 0;
+    /// True once the head is complete.
+    [[nodiscard]] virtual bool has_head() const = 0;
+    [[nodiscard]] virtual const response_head& head() const = 0;
+    /// Valid after `step` returned true.
+    [[nodiscard]] virtual calls::attempt_result result() const = 0;
+    /// Ends the attempt early and closes its connection.
+    virtual void cancel() = 0;
+};
+
+/// Sends requests to endpoints: `http_pool` directly, `relay_transport` over the peer links. Thread safe.
+class transport {
+public:
+    transport() = default;
+    transport(const transport&) = delete;
+    transport& operator=(const transport&) = delete;
+    virtual ~transport() = default;
+    [[nodiscard]] virtual std::unique_ptr<exchange> start(const model::endpoint_info& endpoint,
+                                                          const backend_request& request) = 0;
+};
+
+struct pool_settings {
+    std::size_t max_idle_per_endpoint = 32;
+    std::size_t buffer_bytes = 256UL * 1024; ///< response bytes held in memory for one call
+    std::size_t max_header_bytes = config::max_header_bytes;
+    milliseconds connect_timeout = config::connect_timeout;
+    friend bool operator==(const pool_settings&, const pool_settings&) = default;
+};
+
+struct pool_stats {
+    std::uint64_t connections_opened = 0;
+    std::uint64_t connections_reused = 0;
+    std::uint64_t connections_replaced = 0; ///< idle too long or suspected silent
+    std::uint64_t silent_connections = 0;
+    std::uint64_t idle = 0;
+    friend bool operator==(const pool_stats&, const pool_stats&) = default;
+};
+
+/// Pooled libcurl handles, one connection a handle. Thread safe.
+class http_pool final : public transport {
+public:
+    http_pool(const clock_source& clock, counter_set& counters, pool_settings settings = {});
+    ~http_pool() override;
+    [[nodiscard]] std::unique_ptr<exchange> start(const model::endpoint_info& endpoint,
+                                                  const backend_request& request) override;
+    /// A connection to `address` did not answer while another one did: idle connections that have not
+    /// responded since are replaced.
+    void mark_silent(const std::string& address);
+    /// Closes idle connections that are too old, and those of endpoints not in `live`.
+    void prune(std::span<const std::string> live);
+    [[nodiscard]] pool_stats stats() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+/// A request and its response as they cross a peer link in `relay` mode.
+struct relay_request {
+    std::string endpoint; ///< `IP:port` of the backend server
+    std::string method;
+    std::string target;
+    std::vector<header> headers;
+    std::string body;
+    bool idempotent = true;
+    milliseconds timeout{0};
+    friend bool operator==(const relay_request&, const relay_request&) = default;
+};
+
+struct relay_response {
+    calls::attempt_result result;
+    std::vector<header> headers;
+    std::string body;
+    friend bool operator==(const relay_response&, const relay_response&) = default;
+};
+
+/// Carries relay requests to the daemon beside a backend server. Thread safe; blocks until the response, the
+/// timeout or the loss of the link. Responses above `config::max_frame_bytes` are split by the
+/// implementation.
+class relay_transport {
+public:
+    relay_transport() = default;
+    relay_transport(const relay_transport&) = delete;
+    relay_transport& operator=(const relay_transport&) = delete;
+    virtual ~relay_transport() = default;
+    [[nodiscard]] virtual relay_response send(const std::string& peer, const relay_request& request) = 0;
+};
+
+// ---- announcements ---------------------------------------------------------------------------------------
+
+/// The backend servers beside this daemon, from their announcements. Pure; not thread safe.
+class endpoint_registry {
+public:
+    /// `relay` and `failure_domain` are added to each announcement.
+    endpoint_registry(std::string relay, std::string failure_domain)
+        : relay_{std::move(relay)}, failure_domain_{std::move(failure_domain)} {}
+    /// Takes the body of `PUT /endive/v1/endpoint`. Returns true when the endpoint list changed. Throws
+    /// `error` with `admin_bad_request` and a JSON pointer as place.
+    bool announce(std::string_view body, time_point now);
+    /// Ends endpoints without an announcement for 3 s: they become `leaving`, and disappear 3 s later.
+    /// Returns true when the list changed.
+    bool advance(time_point now);
+    [[nodiscard]] std::vector<model::endpoint_info> endpoints() const;
+
+private:
+    struct entry {
+        model::endpoint_info info;
+        time_point announced;
+    };
+    std::string relay_;
+    std::string failure_domain_;
+    std::map<std::string, entry> entries_; ///< by address
+};
+
+/// Result of one health and load probe.
+struct probe_result {
+    bool reachable = false;
+    std::optional<double> load; ///< 0 idle to 1 full, as the backend server reports it
+    friend bool operator==(const probe_result&, const probe_result&) = default;
+};
+
+/// Probes `GET /endive/v1/load` of a backend server: `{"load": 0.4}`. Blocks at most until `deadline`.
+[[nodiscard]] probe_result probe(transport& pool, const model::endpoint_info& endpoint,
+                                 const clock_source& clock, time_point deadline);
+
+} // namespace endive::backends
