--- a/tools/stand_in/common/http_server.h
+++ b/tools/stand_in/common/http_server.h
@@ -157,6 +157,11 @@
         ulfius_clean_instance(&instance_);
     }
     [[nodiscard]] std::uint16_t port() const { return port_; }
+    /// Requests that a handler received and whose response is not completely sent yet.
+    [[nodiscard]] std::size_t active_requests() const {
+        const std::lock_guard lock{active_mutex_};
+        return active_.size();
+    }
 
 private:
     void listen_on(std::uint16_t port) {
@@ -184,7 +189,7 @@
         instance_.check_utf8 = 0;
         ulfius_set_default_endpoint(&instance_, &http_server::on_request, this);
         MHD_OptionItem options[] = {
-            {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&mhd_request_completed), nullptr},
+            {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&http_server::on_completed), this},
             {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&ulfius_uri_logger), nullptr},
             {MHD_OPTION_LISTEN_SOCKET, listener_, nullptr},
             {MHD_OPTION_CONNECTION_LIMIT, connection_limit, nullptr},
@@ -199,8 +204,22 @@
         return ntohs(reinterpret_cast<const sockaddr_in*>(address)->sin_port);
     }
 
+    static void on_completed(void* context, MHD_Connection* connection, void** state,
+                             MHD_RequestTerminationCode reason) {
+        auto& self = *static_cast<http_server*>(context);
+        if (*state != nullptr) {
+            const std::lock_guard lock{self.active_mutex_};
+            self.active_.erase(static_cast<connection_info_struct*>(*state)->request);
+        }
+        mhd_request_completed(nullptr, connection, state, reason);
+    }
+
     static int on_request(const struct _u_request* raw, struct _u_response* response, void* context) {
         auto& self = *static_cast<http_server*>(context);
+        {
+            const std::lock_guard lock{self.active_mutex_};
+            self.active_.insert(raw);
+        }
         const request incoming{raw, self.sockets_.find(port_of(raw->client_address))};
         reply answer;
         try {
@@ -233,6 +252,8 @@
     static constexpr intptr_t connection_limit = 2000;
     handler handle_;
     connection_sockets sockets_;
+    mutable std::mutex active_mutex_;
+    std::set<const struct _u_request*> active_;
     struct _u_instance instance_ {};
     int listener_ = -1;
     std::uint16_t port_ = 0;
