--- a/include/endive/config.h
+++ b/include/endive/config.h
@@ -38,6 +38,26 @@
 inline constexpr auto rendezvous_refresh = 20s;
 inline constexpr auto rendezvous_expiry = 60s;
 inline constexpr std::size_t rendezvous_rows_per_domain = 4;
+inline constexpr auto control_tick_interval = 100ms;
+// A platform request without an answer for this long is given up; the HTTP client's own timeout is shorter.
+inline constexpr auto platform_request_timeout = 5000ms;
+inline constexpr auto submit_deadline = 20s;
+// A holder stops this long before its lease ends and a successor waits this long after it, so that clocks may
+// differ by twice as much.
+inline constexpr auto lease_clock_margin = 1000ms;
+// Tombstones of dead members outlive every message about them that is still in transit.
+inline constexpr auto dead_retention = 600s;
+inline constexpr std::size_t max_members = 8192;
+inline constexpr std::size_t max_endpoints_per_member = 64;
+inline constexpr std::size_t digest_buckets = 64;
+inline constexpr std::size_t max_records = 8192;
+inline constexpr std::size_t max_record_key_bytes = 512;
+inline constexpr std::size_t max_record_payload_bytes = 16UL * 1024;
+inline constexpr std::size_t max_config_bytes = 32UL * 1024 * 1024;
+// Versions kept to serve deltas from; a peer further behind gets the whole snapshot.
+inline constexpr std::size_t config_history = 4;
+// Write ids kept in the head row; idempotency keys older than this many accepted changes are forgotten.
+inline constexpr std::size_t head_recent_writes = 128;
 
 // Calls.
 inline constexpr std::size_t max_body_bytes = 64UL * 1024 * 1024;
--- /dev/null
+++ b/src/distribution/acceptance.cpp
@@ -0,0 +1,243 @@
+#include "distribution/acceptance.h"
+
+#include <algorithm>
+
+namespace endive::distribution {
+namespace {
+
+const model::team_part* find_part(const model::snapshot& snapshot, const std::string& team) {
+    const auto found = std::ranges::find(snapshot.parts, team, &model::team_part::team);
+    return found == snapshot.parts.end() ? nullptr : &*found;
+}
+
+bool same_content(model::team_part left, const model::team_part& right) {
+    left.changed_at_version = right.changed_at_version;
+    return left == right;
+}
+
+bool ambiguous(result_code code) {
+    return code == result_code::platform_timeout || code == result_code::platform_outcome_unknown ||
+           code == result_code::platform_bad_answer;
+}
+
+} // namespace
+
+std::uint64_t request_digest_of(const submit_request& request) {
+    auto part = request.part;
+    part.changed_at_version = 0;
+    return stable_hash(model::encode(part), request.precondition_version);
+}
+
+void acceptance::submit(time_point now, submit_request request) {
+    submission entry;
+    entry.request_digest = request_digest_of(request);
+    entry.write_id = request.idempotency_key.empty()
+                         ? writer_ + "#" + to_hex(random_.next()) + "-" + std::to_string(++writes_)
+                         : to_hex(stable_hash(request.part.team + '\0' + request.idempotency_key));
+    entry.deadline = now + config::submit_deadline;
+    entry.request = std::move(request);
+    queue_.push_back(std::move(entry));
+}
+
+void acceptance::step(time_point now, platform_calls& calls, acceptance_output& output) {
+    if (queue_.empty() || phase_ != phase::start || now < next_step_) {
+        return;
+    }
+    if (now >= queue_.front().deadline) {
+        if (write_unsettled_) {
+            fail(result_code::platform_outcome_unknown, "the table did not tell the outcome of the write",
+                 output);
+        } else {
+            fail(result_code::platform_unavailable, "the platform did not answer in time; nothing was changed",
+                 output);
+        }
+        return;
+    }
+    phase_ = phase::reading_head;
+    calls.table_get(now, requester::submission, std::string{head_key});
+}
+
+void acceptance::on_result(time_point now, const platform_result& result, const config_store& store,
+                           platform_calls& calls, acceptance_output& output) {
+    switch (phase_) {
+    case phase::start:
+        break;
+    case phase::reading_head:
+        on_head(now, result, store, calls, output);
+        break;
+    case phase::reading_base:
+        on_base(now, result, calls, output);
+        break;
+    case phase::putting_object:
+        on_object(now, result, calls, output);
+        break;
+    case phase::writing_head:
+        on_write(now, result, output);
+        break;
+    }
+}
+
+bool acceptance::settled_by(const head_row& head, acceptance_output& output) {
+    const auto& front = queue_.front();
+    const auto found = std::ranges::find(head.recent, front.write_id, &accepted_write::write_id);
+    if (found == head.recent.end()) {
+        return false;
+    }
+    if (found->request_digest != front.request_digest) {
+        fail(result_code::call_key_reused, "the idempotency key was used for other answers", output);
+        return true;
+    }
+    if (write_unsettled_ && merged_.version == found->version) {
+        output.accepted = accepted_version{std::move(merged_), merged_digest_};
+    }
+    finish({front.request.submit_id, result_code::ok, found->version, {}}, output);
+    return true;
+}
+
+void acceptance::on_head(time_point now, const platform_result& result, const config_store& store,
+                         platform_calls& calls, acceptance_output& output) {
+    if (result.code != result_code::ok) {
+        retry(now, result.code, "head: ", output);
+        return;
+    }
+    head_ = {};
+    head_etag_.reset();
+    if (result.row) {
+        auto head = decode_head(result.row->value);
+        if (!head) {
+            fail(result_code::platform_bad_answer, "the head row is malformed", output);
+            return;
+        }
+        head_ = std::move(*head);
+        head_etag_ = result.row->etag;
+        output.head_seen = head_;
+        if (settled_by(head_, output)) {
+            return;
+        }
+    }
+    if (head_.version == 0) {
+        merge(now, {}, calls, output);
+        return;
+    }
+    if (const auto base = store.find(head_.version, head_.digest)) {
+        merge(now, base->source(), calls, output);
+        return;
+    }
+    phase_ = phase::reading_base;
+    calls.object_get(now, requester::submission, head_.object);
+}
+
+void acceptance::on_base(time_point now, const platform_result& result, platform_calls& calls,
+                         acceptance_output& output) {
+    if (result.code != result_code::ok || !result.object) {
+        retry(now, result.code == result_code::ok ? result_code::platform_not_found : result.code,
+              "head's object: ", output);
+        return;
+    }
+    try {
+        const auto base = model::decode_snapshot(*result.object);
+        if (base.version != head_.version || model::digest(base) != head_.digest) {
+            fail(result_code::snapshot_digest_mismatch, "head's object differs from its digest", output);
+            return;
+        }
+        merge(now, base, calls, output);
+    } catch (const error& failure) {
+        fail(failure.code(), failure.what(), output);
+    }
+}
+
+void acceptance::merge(time_point now, const model::snapshot& base, platform_calls& calls,
+                       acceptance_output& output) {
+    auto& request = queue_.front().request;
+    const auto* current = find_part(base, request.part.team);
+    const auto changed_at = current != nullptr ? current->changed_at_version : 0;
+    if (changed_at != request.precondition_version) {
+        finish({request.submit_id, result_code::submit_conflict, changed_at,
+                "the part changed at version " + std::to_string(changed_at)},
+               output);
+        return;
+    }
+    if (current != nullptr && same_content(request.part, *current)) {
+        finish({request.submit_id, result_code::ok, base.version, "nothing changed"}, output);
+        return;
+    }
+    try {
+        request.part.changed_at_version = base.version + 1;
+        merged_ = model::merge_part(base, request.part);
+        model::validate(merged_);
+        merged_digest_ = model::digest(merged_);
+        phase_ = phase::putting_object;
+        calls.object_put(now, requester::submission, snapshot_key(merged_.version, merged_digest_),
+                         model::encode(merged_));
+    } catch (const error& failure) {
+        fail(failure.code(), failure.what(), output);
+    }
+}
+
+void acceptance::on_object(time_point now, const platform_result& result, platform_calls& calls,
+                           acceptance_output& output) {
+    // Objects are named by their digest, so a repeated put after a lost answer writes the same bytes.
+    if (result.code != result_code::ok && result.code != result_code::platform_precondition_failed) {
+        retry(now, result.code, "object: ", output);
+        return;
+    }
+    write_head(now, calls);
+}
+
+void acceptance::write_head(time_point now, platform_calls& calls) {
+    const auto& front = queue_.front();
+    head_row next{merged_.version, snapshot_key(merged_.version, merged_digest_), merged_digest_,
+                  front.write_id, head_.recent};
+    next.recent.push_back({front.write_id, merged_.version, front.request_digest});
+    if (next.recent.size() > config::head_recent_writes) {
+        next.recent.erase(next.recent.begin());
+    }
+    phase_ = phase::writing_head;
+    calls.table_put(now, requester::submission, std::string{head_key}, encode(next),
+                    platform::precondition{head_etag_});
+}
+
+void acceptance::on_write(time_point now, const platform_result& result, acceptance_output& output) {
+    if (result.code == result_code::ok) {
+        output.accepted = accepted_version{std::move(merged_), merged_digest_};
+        finish({queue_.front().request.submit_id, result_code::ok, output.accepted->snapshot.version, {}},
+               output);
+        return;
+    }
+    write_unsettled_ = write_unsettled_ || ambiguous(result.code);
+    if (result.code == result_code::platform_precondition_failed) {
+        phase_ = phase::start;
+        next_step_ = now;
+        return;
+    }
+    retry(now, result.code, "head: ", output);
+}
+
+void acceptance::retry(time_point now, result_code code, std::string message, acceptance_output& output) {
+    phase_ = phase::start;
+    next_step_ = now + backoff_.next(random_);
+    if (next_step_ < queue_.front().deadline) {
+        return;
+    }
+    if (write_unsettled_) {
+        fail(result_code::platform_outcome_unknown, "the table did not tell the outcome of the write", output);
+        return;
+    }
+    fail(code, message + std::string{to_string(code)}, output);
+}
+
+void acceptance::fail(result_code code, std::string message, acceptance_output& output) {
+    finish({queue_.front().request.submit_id, code, 0, std::move(message)}, output);
+}
+
+void acceptance::finish(submit_finished outcome, acceptance_output& output) {
+    output.finished.push_back(std::move(outcome));
+    queue_.pop_front();
+    phase_ = phase::start;
+    next_step_ = {};
+    backoff_.reset();
+    write_unsettled_ = false;
+    merged_ = {};
+}
+
+} // namespace endive::distribution
--- /dev/null
+++ b/src/distribution/config_puller.h
@@ -0,0 +1,86 @@
+#pragma once
+/// Fetches a newer configuration version: a delta from a peer, else the whole snapshot from a peer, else the
+/// object from the platform.
+
+#include "distribution/config_store.h"
+#include "distribution/platform_calls.h"
+#include "distribution/random_source.h"
+#include "distribution/table_rows.h"
+
+namespace endive::distribution {
+
+/// A configuration version and the digest of its snapshot.
+struct version_digest {
+    std::uint64_t version = 0;
+    std::uint64_t digest = 0;
+    friend auto operator<=>(const version_digest&, const version_digest&) = default;
+};
+
+struct pull_counts {
+    std::uint64_t delta = 0;
+    std::uint64_t snapshot = 0;
+    std::uint64_t object = 0;
+};
+
+/// One pull is in flight at a time. Failed pulls rotate over the peers that have the version.
+class config_puller {
+public:
+    explicit config_puller(random_source& random) : random_{random} {}
+
+    /// A peer is known to run this version now.
+    void learn(const member_id& peer, version_digest has);
+    void forget(const member_id& peer);
+    /// The table names this version.
+    void learn_head(version_digest head) { head_ = std::max(head_, head); }
+    [[nodiscard]] version_digest peer_version(const member_id& peer) const;
+
+    /// Newest known version that the store has not refused; the store's own when none is newer.
+    [[nodiscard]] version_digest target(const config_store& store) const;
+    /// Newest version known, refused or not.
+    [[nodiscard]] version_digest newest(const config_store& store) const;
+    /// Starts or times out a pull. Versions below `required` are not fetched.
+    void step(time_point now, const config_store& store, std::uint64_t required, platform_calls& calls,
+              std::vector<action>& actions);
+
+    /// The outcome when the chunk completes a version.
+    std::optional<offer_result> on_chunk(time_point now, const member_id& from, config_chunk chunk,
+                                         config_store& store, std::vector<action>& actions);
+    void on_refusal(time_point now, const member_id& from, const config_refusal& refusal);
+    std::optional<offer_result> on_object(time_point now, const platform_result& result, config_store& store);
+
+    [[nodiscard]] const pull_counts& counts() const { return counts_; }
+    /// What keeps this daemon from the newest version; empty when nothing does.
+    [[nodiscard]] const std::string& last_fault() const { return last_fault_; }
+
+private:
+    enum class source : std::uint8_t { none, peer, object };
+    struct pull {
+        source from = source::none;
+        member_id peer;
+        version_digest wanted;
+        std::uint64_t base = 0;
+        std::uint32_t next_chunk = 0;
+        std::string bytes;
+        time_point deadline;
+    };
+    void start(time_point now, const config_store& store, version_digest wanted, platform_calls& calls,
+               std::vector<action>& actions);
+    [[nodiscard]] std::optional<member_id> choose_peer(version_digest wanted);
+    void request_chunk(time_point now, std::vector<action>& actions);
+    void fail(time_point now, std::string reason);
+    void finish(const offer_result& result, time_point now);
+
+    random_source& random_;
+    std::map<member_id, version_digest> peers_;
+    version_digest head_;
+    pull pull_;
+    version_digest failing_; ///< version of the failures counted below
+    int failures_ = 0;
+    bool whole_ = false; ///< the next pull asks for the whole snapshot
+    time_point not_before_;
+    member_id last_notice_;
+    std::string last_fault_;
+    pull_counts counts_;
+};
+
+} // namespace endive::distribution
