--- a/src/distribution/acceptance.cpp
+++ b/src/distribution/acceptance.cpp
@@ -5,16 +5,6 @@
 namespace endive::distribution {
 namespace {
 
-const model::team_part* find_part(const model::snapshot& snapshot, const std::string& team) {
-    const auto found = std::ranges::find(snapshot.parts, team, &model::team_part::team);
-    return found == snapshot.parts.end() ? nullptr : &*found;
-}
-
-bool same_content(model::team_part left, const model::team_part& right) {
-    left.changed_at_version = right.changed_at_version;
-    return left == right;
-}
-
 bool ambiguous(result_code code) {
     return code == result_code::platform_timeout || code == result_code::platform_outcome_unknown ||
            code == result_code::platform_bad_answer;
@@ -48,8 +38,8 @@
             fail(result_code::platform_outcome_unknown, "the table did not tell the outcome of the write",
                  output);
         } else {
-            fail(result_code::platform_unavailable, "the platform did not answer in time; nothing was changed",
-                 output);
+            fail(result_code::platform_unavailable,
+                 "the platform did not answer in time; nothing was changed", output);
         }
         return;
     }
@@ -149,7 +139,7 @@
 void acceptance::merge(time_point now, const model::snapshot& base, platform_calls& calls,
                        acceptance_output& output) {
     auto& request = queue_.front().request;
-    const auto* current = find_part(base, request.part.team);
+    const auto* current = model::find_part(base, request.part.team);
     const auto changed_at = current != nullptr ? current->changed_at_version : 0;
     if (changed_at != request.precondition_version) {
         finish({request.submit_id, result_code::submit_conflict, changed_at,
@@ -157,7 +147,7 @@
                output);
         return;
     }
-    if (current != nullptr && same_content(request.part, *current)) {
+    if (current != nullptr && model::same_content(request.part, *current)) {
         finish({request.submit_id, result_code::ok, base.version, "nothing changed"}, output);
         return;
     }
@@ -213,21 +203,22 @@
     retry(now, result.code, "head: ", output);
 }
 
-void acceptance::retry(time_point now, result_code code, std::string message, acceptance_output& output) {
+void acceptance::retry(time_point now, result_code code, std::string text, acceptance_output& output) {
     phase_ = phase::start;
     next_step_ = now + backoff_.next(random_);
     if (next_step_ < queue_.front().deadline) {
         return;
     }
     if (write_unsettled_) {
-        fail(result_code::platform_outcome_unknown, "the table did not tell the outcome of the write", output);
+        fail(result_code::platform_outcome_unknown, "the table did not tell the outcome of the write",
+             output);
         return;
     }
-    fail(code, message + std::string{to_string(code)}, output);
+    fail(code, text + std::string{to_string(code)}, output);
 }
 
-void acceptance::fail(result_code code, std::string message, acceptance_output& output) {
-    finish({queue_.front().request.submit_id, code, 0, std::move(message)}, output);
+void acceptance::fail(result_code code, std::string text, acceptance_output& output) {
+    finish({queue_.front().request.submit_id, code, 0, std::move(text)}, output);
 }
 
 void acceptance::finish(submit_finished outcome, acceptance_output& output) {
--- a/src/distribution/config_puller.cpp
+++ b/src/distribution/config_puller.cpp
@@ -102,7 +102,8 @@
     const auto ask_platform = !peer || (failures_ % (peer_attempts + 1)) == peer_attempts;
     if (ask_platform) {
         ++counts_.object;
-        pull_ = {source::object, {}, wanted, 0, 0, {}, now + config::platform_request_timeout + chunk_timeout};
+        pull_ = {
+            source::object, {}, wanted, 0, 0, {}, now + config::platform_request_timeout + chunk_timeout};
         calls.object_get(now, requester::snapshot_object, snapshot_key(wanted.version, wanted.digest));
         return;
     }
@@ -159,9 +160,9 @@
         return {};
     }
     const auto done = std::exchange(pull_, {});
-    const auto result =
-        done.base == 0 ? store.offer_snapshot_bytes(done.wanted.version, done.wanted.digest, done.bytes)
-                       : store.offer_delta_bytes(done.wanted.version, done.wanted.digest, done.bytes);
+    const auto result = done.base == 0
+                            ? store.offer_snapshot_bytes(done.wanted.version, done.wanted.digest, done.bytes)
+                            : store.offer_delta_bytes(done.wanted.version, done.wanted.digest, done.bytes);
     finish(result, now);
     return result;
 }
--- a/src/distribution/config_store.cpp
+++ b/src/distribution/config_store.cpp
@@ -20,7 +20,8 @@
 
 offer_result config_store::stale() {
     ++stale_offers_;
-    return {offer_outcome::not_newer, result_code::snapshot_older_version, "not newer than the active version"};
+    return {offer_outcome::not_newer, result_code::snapshot_older_version,
+            "not newer than the active version"};
 }
 
 offer_result config_store::refuse(std::uint64_t version, std::uint64_t digest, const error& failure) {
--- /dev/null
+++ b/src/distribution/control_links.cpp
@@ -0,0 +1,196 @@
+// Links: overlay, dialing, heartbeats and suspicion of silent neighbours.
+
+#include "distribution/control_node_impl.h"
+
+#include <algorithm>
+
+namespace endive::distribution {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Bounds the cost of recomputing the overlay while many members come and go.
+constexpr auto overlay_refresh = 500ms;
+// The member with the lower id dials; the other one follows when that has not happened for this long.
+constexpr auto other_side_dials_after = 2000ms;
+// An answer to a dial is due well before this; a lost one must not block the member for ever.
+constexpr auto dial_patience = 5000ms;
+// Leaves time for a fresh connection to be heard before the member becomes suspect at 3 s.
+constexpr auto silent_link_limit = 2400ms;
+// A dialed link that the overlay does not ask for is kept this long, since member lists differ for a while.
+constexpr auto unwanted_link_grace = 10s;
+// Each false suspicion doubles the wait for the next one, up to 3 s << 4.
+constexpr int max_suspicion_doublings = 4;
+constexpr auto steady_link_age = 30s;
+constexpr auto probe_interval = 5s;
+
+} // namespace
+
+void control_node::impl::refresh_overlay() {
+    if (overlay_generation == members.live_generation() ||
+        (overlay.members > 0 && now - overlay_at < overlay_refresh)) {
+        return;
+    }
+    overlay_generation = members.live_generation();
+    overlay_at = now;
+    const auto self = ring_entry_of(settings.id);
+    std::vector<ring_entry> ring;
+    ring.reserve(members.live() + 1);
+    members.for_each([&](const member_record& record) {
+        if (record.id != self.id && members.is_live(record.id)) {
+            ring.push_back(ring_entry_of(record.id));
+        }
+    });
+    ring.push_back(self);
+    std::ranges::sort(ring);
+    const auto was_root = overlay.members > 0 && overlay.root();
+    overlay = compute_overlay(ring, self);
+    if (overlay.root() && !was_root) {
+        root_since = now;
+    }
+    std::erase_if(watches, [&](const auto& watch) {
+        return !std::ranges::binary_search(overlay.neighbours, watch.first);
+    });
+}
+
+std::set<member_id> control_node::impl::wanted_members() const {
+    std::set<member_id> wanted{overlay.neighbours.begin(), overlay.neighbours.end()};
+    if (overlay.parent) {
+        wanted.insert(*overlay.parent);
+    }
+    wanted.insert(overlay.children.begin(), overlay.children.end());
+    if (probe) {
+        wanted.insert(*probe);
+    }
+    // Members with different lists find each other again through the seeds and rendezvous rows.
+    if (check.active || links.empty()) {
+        wanted.insert(settings.seeds.begin(), settings.seeds.end());
+        wanted.insert(meeting.contacts().begin(), meeting.contacts().end());
+    }
+    wanted.erase(settings.id);
+    return wanted;
+}
+
+void control_node::impl::manage_links() {
+    probe_dead_member();
+    if (leaving) {
+        return;
+    }
+    const auto wanted = wanted_members();
+    for (const auto& id : wanted) {
+        if (!links.contains(id)) {
+            const auto bootstrap = !members.is_live(id);
+            dial(id, bootstrap || settings.id < id);
+        }
+    }
+    std::erase_if(dials, [&](const auto& entry) {
+        return !entry.second.pending && !wanted.contains(entry.first) &&
+               now - entry.second.next_attempt > unwanted_link_grace;
+    });
+    for (auto& [id, link] : links) {
+        if (wanted.contains(id)) {
+            link.unwanted_since.reset();
+        } else if (!link.unwanted_since) {
+            link.unwanted_since = now;
+        }
+    }
+}
+
+void control_node::impl::dial(const member_id& member, bool at_once) {
+    const auto [found, added] = dials.try_emplace(member);
+    auto& state = found->second;
+    if (added) {
+        state.wanted_since = now;
+        state.next_attempt = now;
+    }
+    if (state.pending && now - state.next_attempt < dial_patience) {
+        return;
+    }
+    if (now < state.next_attempt || (!at_once && now - state.wanted_since < other_side_dials_after)) {
+        return;
+    }
+    state.pending = true;
+    state.next_attempt = now;
+    out.emplace_back(dial_member{member});
+}
+
+void control_node::impl::close(const member_id& member) {
+    auto& link = links.at(member);
+    if (!link.closing) {
+        link.closing = true;
+        out.emplace_back(close_link{member});
+    }
+}
+
+void control_node::impl::drop_unwanted() {
+    if (check.active) {
+        return;
+    }
+    for (const auto& [id, link] : links) {
+        if (link.dialed && link.unwanted_since && now - *link.unwanted_since > unwanted_link_grace) {
+            close(id);
+        }
+    }
+}
+
+void control_node::impl::drop_silent() {
+    for (const auto& [id, link] : links) {
+        if (now - link.last_heard > silent_link_limit) {
+            close(id);
+        }
+    }
+}
+
+void control_node::impl::watch_neighbours() {
+    if (leaving) {
+        return;
+    }
+    for (const auto& id : overlay.neighbours) {
+        auto& watch = watches.try_emplace(id, watch_state{now, 0}).first->second;
+        if (const auto link = links.find(id); link != links.end()) {
+            watch.since = std::max(watch.since, link->second.last_heard);
+            if (now - link->second.up_since > steady_link_age) {
+                watch.suspicions = 0;
+            }
+        }
+        const auto patience =
+            config::suspect_after * (1 << std::min(watch.suspicions, max_suspicion_doublings));
+        if (now - watch.since >= patience && members.suspect(now, id)) {
+            ++watch.suspicions;
+            watch.since = now;
+            queue_member(id, {});
+        }
+    }
+}
+
+/// Dials a dead member now and then, so that the two sides of a healed partition find each other.
+void control_node::impl::probe_dead_member() {
+    if (now < next_probe || leaving) {
+        return;
+    }
+    next_probe = now + random.jittered(probe_interval);
+    probe.reset();
+    std::vector<const member_id*> dead;
+    members.for_each([&](const member_record& record) {
+        if (record.state == member_state::dead) {
+            dead.push_back(&record.id);
+        }
+    });
+    if (!dead.empty()) {
+        probe = *dead[random.below(dead.size())];
+    }
+}
+
+heartbeat control_node::impl::make_heartbeat() {
+    return {members.self().incarnation, ++heartbeat_sequence, store.version(),          store.digest(),
+            members.digest(),           records.digest(),     ownership.highest_epoch()};
+}
+
+void control_node::impl::send_heartbeats() {
+    const auto beat = make_heartbeat();
+    for (const auto& [id, link] : links) {
+        send(id, message_priority::urgent, beat);
+    }
+}
+
+} // namespace endive::distribution
--- /dev/null
+++ b/src/distribution/schedules.h
@@ -0,0 +1,15 @@
+#pragma once
+/// Poll intervals that keep the fleet's table reads constant.
+
+#include "endive/distribution.h"
+
+namespace endive::distribution {
+
+/// Mean interval between a daemon's reads of `head`.
+[[nodiscard]] inline duration head_poll_interval(std::size_t members) {
+    const auto spread =
+        std::chrono::duration<double>{static_cast<double>(members) / config::fleet_head_reads_per_second};
+    return std::max<duration>(config::min_head_poll_interval, std::chrono::duration_cast<duration>(spread));
+}
+
+} // namespace endive::distribution
--- a/src/distribution/snapshot_server.cpp
+++ b/src/distribution/snapshot_server.cpp
@@ -42,13 +42,13 @@
     if (request.chunk + 1 == chunks) {
         slots_.erase(peer);
     }
-    return config_chunk{request.version,
-                        store.digest(),
-                        request.base_version,
-                        request.chunk,
-                        chunks,
-                        bytes->substr(request.chunk * config::snapshot_chunk_bytes,
-                                      config::snapshot_chunk_bytes)};
+    return config_chunk{
+        request.version,
+        store.digest(),
+        request.base_version,
+        request.chunk,
+        chunks,
+        bytes->substr(request.chunk * config::snapshot_chunk_bytes, config::snapshot_chunk_bytes)};
 }
 
 } // namespace endive::distribution
--- a/src/distribution/snapshot_server.h
+++ b/src/distribution/snapshot_server.h
@@ -7,8 +7,8 @@
 
 class snapshot_server {
 public:
-    /// Answers one request of `peer`. Deltas are small and always served; a whole snapshot needs a slot, which
-    /// the peer keeps until its last chunk or until it stays silent for two seconds.
+    /// Answers one request of `peer`. Deltas are small and always served; a whole snapshot needs a slot,
+    /// which the peer keeps until its last chunk or until it stays silent for two seconds.
     [[nodiscard]] message answer(time_point now, const member_id& peer, const config_request& request,
                                  config_store& store);
     /// Frees the slot of a peer whose link closed.
--- a/src/distribution/table_rows.cpp
+++ b/src/distribution/table_rows.cpp
@@ -14,7 +14,8 @@
     return digest;
 }
 
-template <typename Row, typename Read> std::optional<Row> decode(std::string_view text, Read read) {
+template <typename Row, typename Read>
+std::optional<Row> decode(std::string_view text, Read read) {
     try {
         return read(json::parse(text));
     } catch (const std::exception&) {
