--- a/include/endive/config.h
+++ b/include/endive/config.h
@@ -32,6 +32,8 @@
 inline constexpr std::size_t snapshot_chunk_bytes = 64UL * 1024;
 inline constexpr std::size_t max_overlay_links = 12;
 inline constexpr std::size_t max_link_queue_messages = 256;
+// A slow peer costs at most this much memory, whatever the size of its messages.
+inline constexpr std::size_t max_link_queue_bytes = 8UL * 1024 * 1024;
 inline constexpr auto heartbeat_interval = 1000ms;
 inline constexpr auto suspect_after = 3000ms;
 inline constexpr auto dead_after_suspect = 3000ms;
--- a/include/endive/distribution.h
+++ b/include/endive/distribution.h
@@ -429,6 +429,7 @@
 ///    given up after 5 s, and a later answer is ignored.
 /// 4. Each `dial_member` is answered by `link_up` or `link_down`. At most one link a member is up.
 /// 5. Messages of one link may be lost (full queue): digests repair it.
+/// 6. `incarnation()` changes after a pause or a refutation; pass it on to the transport.
 class control_node {
 public:
     explicit control_node(node_settings settings, fault_switches faults = {});
--- /dev/null
+++ b/src/peers/frame_decoder.cpp
@@ -0,0 +1,51 @@
+#include "endive/peers.h"
+
+namespace endive::peers {
+namespace {
+
+constexpr std::size_t length_bytes = 4;
+// Moving the rest of the buffer to the front pays off only when much of it was consumed.
+constexpr std::size_t compact_threshold = 64UL * 1024;
+
+std::uint32_t read_length(std::string_view bytes) {
+    std::uint32_t length = 0;
+    for (std::size_t index = 0; index < length_bytes; ++index) {
+        length |= static_cast<std::uint32_t>(static_cast<std::uint8_t>(bytes[index])) << (8 * index);
+    }
+    return length;
+}
+
+} // namespace
+
+void frame_decoder::feed(std::string_view bytes) {
+    if (start_ == buffer_.size()) {
+        buffer_.clear();
+        start_ = 0;
+    } else if (start_ >= compact_threshold) {
+        buffer_.erase(0, start_);
+        start_ = 0;
+    }
+    buffer_.append(bytes);
+}
+
+std::optional<std::string_view> frame_decoder::next() {
+    const auto rest = std::string_view{buffer_}.substr(start_);
+    if (rest.size() < length_bytes) {
+        return {};
+    }
+    const auto length = read_length(rest);
+    if (length == 0) {
+        throw error{result_code::peer_frame_malformed, "a frame is empty"};
+    }
+    if (length > config::max_frame_bytes) {
+        throw error{result_code::peer_frame_too_large,
+                    "a frame announces " + std::to_string(length) + " bytes"};
+    }
+    if (rest.size() - length_bytes < length) {
+        return {};
+    }
+    start_ += length_bytes + length;
+    return rest.substr(length_bytes, length);
+}
+
+} // namespace endive::peers
