--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	@ctest --test-dir $(BUILD_DIR) --output-on-failure -j 4
 
 integration: build
-	@BUILD_DIR=$(BUILD_DIR) /usr/bin/python3 -m pytest -q -p no:cacheprovider tests/integration
+	@BUILD_DIR=$(BUILD_DIR) /usr/bin/python3 -m pytest -q -rxX -p no:cacheprovider tests/integration
 
 test: unit integration
 
--- a/include/endive/distribution.h
+++ b/include/endive/distribution.h
@@ -36,7 +36,7 @@
     friend auto operator<=>(const member_record&, const member_record&) = default;
 };
 
-enum class record_kind : std::uint8_t { hold, move_directive };
+enum class record_kind : std::uint8_t { hold, move_directive, move_change };
 
 /// A replicated record. The greater `(final, epoch, sequence)` of a `(kind, key)` wins; on a tie the greater
 /// payload wins.
@@ -226,6 +226,7 @@
     model::team_part part;
     std::uint64_t precondition_version = 0; ///< version at which the team's part last changed; 0 when new
     std::string idempotency_key;            ///< empty: the submission is not repeatable
+    std::int64_t submitted_unix_ms = 0;     ///< kept in the history
 };
 
 struct publish_record {
@@ -351,6 +352,20 @@
                  object_put, apply_snapshot, submit_finished, records_changed, members_changed, became_owner,
                  ownership_extended, lost_ownership, evidence_collected, ready_changed, fenced>;
 
+// ---- history ---------------------------------------------------------------------------------------------
+
+/// One accepted version, as the head row lists the newest ones.
+struct history_item {
+    std::uint64_t version = 0;
+    std::string team;
+    member_id accepted_by;
+    std::int64_t submitted_unix_ms = 0;
+    friend auto operator<=>(const history_item&, const history_item&) = default;
+};
+
+/// Versions that a head row lists, newest first; empty when the row is malformed. Thread safe.
+[[nodiscard]] std::vector<history_item> decode_history(std::string_view head_row_value);
+
 // ---- status ----------------------------------------------------------------------------------------------
 
 /// What this daemon runs. `confirmed` is false while the table has not confirmed the version since the start
--- a/src/distribution/acceptance.cpp
+++ b/src/distribution/acceptance.cpp
@@ -178,7 +178,8 @@
     const auto& front = queue_.front();
     head_row next{merged_.version, snapshot_key(merged_.version, merged_digest_), merged_digest_,
                   front.write_id, head_.recent};
-    next.recent.push_back({front.write_id, merged_.version, front.request_digest});
+    next.recent.push_back({front.write_id, merged_.version, front.request_digest, front.request.part.team,
+                           writer_.substr(0, writer_.find('@')), front.request.submitted_unix_ms});
     if (next.recent.size() > config::head_recent_writes) {
         next.recent.erase(next.recent.begin());
     }
--- a/src/distribution/table_rows.cpp
+++ b/src/distribution/table_rows.cpp
@@ -30,7 +30,10 @@
     for (const auto& write : value.recent) {
         recent.push_back({{"write_id", write.write_id},
                           {"version", write.version},
-                          {"request_digest", to_hex(write.request_digest)}});
+                          {"request_digest", to_hex(write.request_digest)},
+                          {"team", write.team},
+                          {"accepted_by", write.accepted_by},
+                          {"submitted", write.submitted_unix_ms}});
     }
     return json{{"version", value.version},
                 {"object", value.object},
@@ -60,14 +63,27 @@
         row.digest = digest_of(value.at("digest"));
         row.write_id = value.at("write_id").get<std::string>();
         for (const auto& write : value.value("recent", json::array())) {
-            row.recent.push_back({write.at("write_id").get<std::string>(),
-                                  write.at("version").get<std::uint64_t>(),
-                                  digest_of(write.at("request_digest"))});
+            row.recent.push_back(
+                {write.at("write_id").get<std::string>(), write.at("version").get<std::uint64_t>(),
+                 digest_of(write.at("request_digest")), write.value("team", std::string{}),
+                 write.value("accepted_by", std::string{}), write.value("submitted", std::int64_t{0})});
         }
         return row;
     });
 }
 
+std::vector<history_item> decode_history(std::string_view head_row_value) {
+    std::vector<history_item> items;
+    const auto head = decode_head(head_row_value);
+    if (!head) {
+        return items;
+    }
+    for (auto write = head->recent.rbegin(); write != head->recent.rend(); ++write) {
+        items.push_back({write->version, write->team, write->accepted_by, write->submitted_unix_ms});
+    }
+    return items;
+}
+
 std::optional<lease_row> decode_lease(std::string_view text) {
     return decode<lease_row>(text, [](const json& value) {
         return lease_row{value.at("holder").get<std::string>(), value.at("epoch").get<std::uint64_t>(),
--- a/src/distribution/table_rows.h
+++ b/src/distribution/table_rows.h
@@ -14,6 +14,9 @@
     std::string write_id;
     std::uint64_t version = 0;
     std::uint64_t request_digest = 0;
+    std::string team;
+    std::string accepted_by;
+    std::int64_t submitted_unix_ms = 0;
     friend auto operator<=>(const accepted_write&, const accepted_write&) = default;
 };
 
--- a/src/peers/decode.cpp
+++ b/src/peers/decode.cpp
@@ -77,7 +77,7 @@
 }
 
 distribution::replicated_record decode_record(const wire::Record& value) {
-    return {checked(value.kind(), distribution::record_kind::move_directive),
+    return {checked(value.kind(), distribution::record_kind::move_change),
             text(value.key()),
             value.epoch(),
             value.sequence(),
