Add the pure state machines of the request path

Headers, version choice, endpoint choice with ejection and ramp, admission, retry budget, hedging, connection use and operation records decide without clock, socket or thread, so that the proxy around them stays thin.

--- a/include/endive/calls.h
+++ b/include/endive/calls.h
@@ -63,6 +63,7 @@
     std::uint32_t status = 0;        ///< HTTP status; 0 without a response
     bool refused_as_not_run = false; ///< response carries `endive-outcome: not-run`
     bool reports_unknown = false;    ///< response carries `endive-outcome: unknown`
+    bool from_deeper_layer = false;  ///< response carries `endive-reason`: a daemon further down refused
     friend bool operator==(const attempt_result&, const attempt_result&) = default;
 };
 
@@ -147,10 +148,11 @@
     /// Replaces the endpoints; those that stay keep their observations. Endpoints that are not `serving` get
     /// no new work. `live_daemons` divides the connections of each endpoint.
     void update(std::span<const model::endpoint_info> endpoints, std::uint32_t live_daemons, time_point now);
-    /// Reserves a place at an endpoint. `excluded` lists addresses that this call has already tried. Invalid
+    /// Reserves a place at an endpoint. `excluded` lists addresses that this call has already tried. With
+    /// `may_probe` the call may test an ejected endpoint; calls that are not idempotent should not. Invalid
     /// handle when none has room.
     [[nodiscard]] endpoint_handle choose(std::uint64_t random, std::span<const std::string> excluded,
-                                         time_point now);
+                                         time_point now, bool may_probe = true);
     /// Ends the reservation. Precondition: `handle` comes from `choose` and was not finished.
     void finish(endpoint_handle handle, const attempt_report& report, time_point now);
     /// Ends the reservation of an attempt that was never sent; it counts neither as success nor as failure.
@@ -260,6 +262,7 @@
     std::uint32_t caller_attempt = 1; ///< value of `endive-attempt` at arrival
     std::uint32_t attempts_made = 1;
     execution executed = execution::not_run;
+    bool from_deeper_layer = false; ///< that layer has spent its retries already
     duration remaining{0};
     duration service_time{0};
     friend bool operator==(const retry_question&, const retry_question&) = default;
--- /dev/null
+++ b/src/calls/endpoint_entry.cpp
@@ -0,0 +1,132 @@
+#include "calls/endpoint_entry.h"
+
+#include <cmath>
+
+namespace endive::calls {
+namespace {
+
+// Weight of the newest sample in the averages; about the last 20 samples count.
+constexpr double sample_weight = 0.1;
+// A failing endpoint often fails fast and looks idle. Each failure in ten outweighs this factor of latency.
+constexpr double failure_penalty = 20.0;
+constexpr double unknown_latency_ns = 1e6;
+// An endpoint never counts as more than twice as fast as the median, so that one that only looks idle or fast
+// does not draw all the traffic.
+constexpr double best_of_median = 0.5;
+constexpr double shed_factor = 0.8;
+constexpr duration load_validity = std::chrono::seconds{5};
+// After this time without an ejection the back-off starts from its minimum again.
+constexpr duration forget_ejections = std::chrono::seconds{60};
+constexpr std::uint32_t max_backoff_doublings = 16;
+
+[[nodiscard]] bool is_failure(model::call_outcome outcome) {
+    return outcome == model::call_outcome::server_error || outcome == model::call_outcome::timeout ||
+           outcome == model::call_outcome::connection_failed;
+}
+
+} // namespace
+
+std::uint32_t endpoint_entry::places() const {
+    const auto adaptive = static_cast<std::uint32_t>(std::max(1.0, adaptive_limit));
+    return std::min(limit, adaptive);
+}
+
+double endpoint_entry::ramp_weight(const endpoint_settings& settings, time_point now) const {
+    const duration age = now - first_seen;
+    if (warm_at_start || age >= settings.ramp) {
+        return 1.0;
+    }
+    const double progress = static_cast<double>(age.count()) / static_cast<double>(settings.ramp.count());
+    return settings.ramp_start + (1.0 - settings.ramp_start) * progress;
+}
+
+double endpoint_entry::score(double median_ns, time_point now) const {
+    const double typical = median_ns > 0 ? median_ns : unknown_latency_ns;
+    const double own = successes > 0 ? latency_ns : typical;
+    const double latency = std::max(own, typical * best_of_median);
+    const bool load_valid = now - load_reported <= load_validity;
+    const double load = load_valid ? reported_load : 0.0;
+    return (in_flight + 1.0) * latency * (1.0 + failure_penalty * failure_ratio) * (1.0 + load);
+}
+
+void endpoint_entry::observe_success(duration latency) {
+    const auto value = static_cast<double>(latency.count());
+    if (successes == 0) {
+        latency_ns = value;
+        deviation_ns = value / 2;
+    } else {
+        deviation_ns += sample_weight * (std::abs(value - latency_ns) - deviation_ns);
+        latency_ns += sample_weight * (value - latency_ns);
+    }
+    ++successes;
+    adaptive_limit = std::min<double>(limit, adaptive_limit + 1.0 / std::max(1.0, adaptive_limit));
+}
+
+void endpoint_entry::observe_shed(time_point now) {
+    // Calls in flight together are shed together; one reduction answers for all of them.
+    if (now - limit_reduced < duration{static_cast<duration::rep>(latency_ns)}) {
+        return;
+    }
+    limit_reduced = now;
+    adaptive_limit = std::max(1.0, adaptive_limit * shed_factor);
+}
+
+void endpoint_entry::observe(const attempt_report& report, time_point now) {
+    if (report.outcome == model::call_outcome::cancelled) {
+        return;
+    }
+    if (report.outcome == model::call_outcome::shed) {
+        observe_shed(now);
+        return;
+    }
+    const bool failed = is_failure(report.outcome);
+    ++samples;
+    failure_ratio += sample_weight * ((failed ? 1.0 : 0.0) - failure_ratio);
+    consecutive_failures = failed ? consecutive_failures + 1 : 0;
+    if (!failed) {
+        observe_success(report.latency);
+    }
+    if (health == endpoint_health::probing) {
+        probe_successes = failed ? 0 : probe_successes + 1;
+    }
+    if (ejections > 0 && health == endpoint_health::healthy && now - returned > forget_ejections) {
+        ejections = 0;
+    }
+}
+
+bool endpoint_entry::is_ejection_due(const endpoint_settings& settings, double median_ns) const {
+    if (consecutive_failures >= settings.eject_consecutive) {
+        return true;
+    }
+    if (samples < settings.eject_samples) {
+        return false;
+    }
+    if (failure_ratio > settings.eject_failure_ratio) {
+        return true;
+    }
+    const bool slow = median_ns > 0 && latency_ns > median_ns * settings.eject_slow_factor;
+    return slow && latency_ns > static_cast<double>(settings.eject_slow_minimum.count());
+}
+
+void endpoint_entry::eject(const endpoint_settings& settings, time_point now) {
+    const auto doublings = std::min(ejections, max_backoff_doublings);
+    const duration backoff = settings.eject_backoff * (std::int64_t{1} << doublings);
+    ejected_until = now + std::min(backoff, settings.eject_backoff_max);
+    health = endpoint_health::ejected;
+    ++ejections;
+    probe_successes = 0;
+}
+
+void endpoint_entry::readmit(time_point now) {
+    health = endpoint_health::healthy;
+    returned = now;
+    // The returned endpoint warms up like a new one, and old failures and latencies no longer count.
+    first_seen = now;
+    warm_at_start = false;
+    failure_ratio = 0;
+    consecutive_failures = 0;
+    samples = 0;
+    successes = 0;
+}
+
+} // namespace endive::calls
--- /dev/null
+++ b/src/calls/endpoint_group.cpp
@@ -0,0 +1,339 @@
+#include "calls/endpoint_entry.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace endive::calls {
+namespace {
+
+// The median changes slowly; recomputing it on each call would cost more than the choice itself.
+constexpr std::uint32_t median_interval = 32;
+// One in this many calls may test an endpoint that is due for a probe.
+constexpr std::uint64_t probe_interval = 8;
+// Observations of an absent endpoint are kept while the group has this many spare entries.
+constexpr std::size_t spare_entries = 8;
+
+[[nodiscard]] std::uint32_t place_limit(const model::endpoint_info& info, std::uint32_t live_daemons) {
+    const double share =
+        std::floor(config::connection_reserve_ratio * info.connections / std::max(1U, live_daemons));
+    const auto connections = static_cast<std::uint32_t>(std::max(1.0, share));
+    return std::max(1U, std::min(info.slots, connections));
+}
+
+/// Splits one random number into several independent ones (splitmix64).
+[[nodiscard]] std::uint64_t next_random(std::uint64_t& state) {
+    state += 0x9e3779b97f4a7c15ULL;
+    std::uint64_t z = state;
+    z = (z ^ (z >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27U)) * 0x94d049bb133111ebULL;
+    return z ^ (z >> 31U);
+}
+
+[[nodiscard]] double unit(std::uint64_t random) {
+    constexpr double two_to_53 = 9007199254740992.0;
+    return static_cast<double>(random >> 11U) / two_to_53;
+}
+
+} // namespace
+
+struct endpoint_group::state {
+    endpoint_settings settings;
+    std::vector<endpoint_entry> entries;
+    std::vector<std::uint32_t> local;
+    std::vector<std::uint32_t> remote;
+    double median_ns = 0;
+    std::uint32_t finishes = 0;
+    bool initialised = false;
+
+    [[nodiscard]] std::size_t count_present() const {
+        return std::count_if(entries.begin(), entries.end(), [](const auto& e) { return e.serves(); });
+    }
+    [[nodiscard]] std::size_t count_ejected() const {
+        return std::count_if(entries.begin(), entries.end(), [](const auto& e) {
+            return e.serves() && e.health != endpoint_health::healthy;
+        });
+    }
+    [[nodiscard]] std::size_t max_ejected() const {
+        return static_cast<std::size_t>(settings.max_ejected_ratio * static_cast<double>(count_present()));
+    }
+    endpoint_entry& entry_for(const model::endpoint_info& info, time_point now);
+    void limit_ejections(time_point now);
+    void refresh_median();
+    void advance_probes(time_point now);
+    [[nodiscard]] bool has_room(const endpoint_entry& e, std::span<const std::string> excluded) const;
+    void collect(std::span<const std::string> excluded, std::uint64_t& random, bool apply_ramp,
+                 time_point now);
+    [[nodiscard]] std::uint32_t due_probe(std::span<const std::string> excluded) const;
+    [[nodiscard]] std::uint32_t better_of_two(const std::vector<std::uint32_t>& from, std::uint64_t& random,
+                                              time_point now) const;
+    [[nodiscard]] std::uint32_t pick(std::uint64_t& random, time_point now) const;
+};
+
+endpoint_group::endpoint_group(endpoint_settings settings) : state_{std::make_unique<state>()} {
+    state_->settings = std::move(settings);
+}
+endpoint_group::~endpoint_group() = default;
+endpoint_group::endpoint_group(endpoint_group&&) noexcept = default;
+endpoint_group& endpoint_group::operator=(endpoint_group&&) noexcept = default;
+
+endpoint_entry& endpoint_group::state::entry_for(const model::endpoint_info& info, time_point now) {
+    const auto same = std::find_if(entries.begin(), entries.end(),
+                                   [&](const auto& e) { return e.info.address == info.address; });
+    if (same != entries.end()) {
+        if (!same->present) {
+            same->first_seen = now;
+            same->warm_at_start = false;
+        }
+        return *same;
+    }
+    auto target = entries.end();
+    if (entries.size() > 2 * count_present() + spare_entries) {
+        target = std::find_if(entries.begin(), entries.end(),
+                              [](const auto& e) { return !e.present && e.in_flight == 0; });
+    }
+    if (target == entries.end()) {
+        target = entries.emplace(entries.end());
+    } else {
+        *target = endpoint_entry{};
+    }
+    target->first_seen = now;
+    target->warm_at_start = !initialised;
+    target->adaptive_limit = info.slots;
+    return *target;
+}
+
+void endpoint_group::update(std::span<const model::endpoint_info> endpoints, std::uint32_t live_daemons,
+                            time_point now) {
+    auto& s = *state_;
+    std::vector<std::uint32_t> found;
+    for (const auto& info : endpoints) {
+        auto& entry = s.entry_for(info, now);
+        entry.present = true;
+        const bool began_serving = info.state == model::endpoint_state::serving &&
+                                   entry.info.state != model::endpoint_state::serving && s.initialised;
+        if (began_serving) {
+            entry.first_seen = now;
+        }
+        entry.info = info;
+        entry.limit = place_limit(info, live_daemons);
+        found.push_back(static_cast<std::uint32_t>(&entry - s.entries.data()));
+    }
+    std::sort(found.begin(), found.end());
+    for (std::uint32_t i = 0; i < s.entries.size(); ++i) {
+        if (!std::binary_search(found.begin(), found.end(), i)) {
+            s.entries[i].present = false;
+        }
+    }
+    // Endpoints known when the daemon starts are as old as anyone can tell; only later ones are cold.
+    s.initialised = s.initialised || !endpoints.empty();
+    s.limit_ejections(now);
+}
+
+void endpoint_group::state::limit_ejections(time_point now) {
+    while (count_ejected() > max_ejected()) {
+        endpoint_entry* oldest = nullptr;
+        for (auto& e : entries) {
+            const bool out = e.serves() && e.health != endpoint_health::healthy;
+            if (out && (oldest == nullptr || e.ejected_until < oldest->ejected_until)) {
+                oldest = &e;
+            }
+        }
+        oldest->readmit(now);
+    }
+}
+
+void endpoint_group::state::refresh_median() {
+    std::vector<double> values;
+    for (const auto& e : entries) {
+        if (e.serves() && e.successes > 0) {
+            values.push_back(e.latency_ns);
+        }
+    }
+    if (values.empty()) {
+        return;
+    }
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    median_ns = *middle;
+}
+
+void endpoint_group::state::advance_probes(time_point now) {
+    for (auto& e : entries) {
+        if (e.health == endpoint_health::ejected && now >= e.ejected_until) {
+            e.health = endpoint_health::probing;
+            e.probe_successes = 0;
+        }
+    }
+}
+
+bool endpoint_group::state::has_room(const endpoint_entry& e, std::span<const std::string> excluded) const {
+    return e.serves() && e.in_flight < e.places() &&
+           std::find(excluded.begin(), excluded.end(), e.info.address) == excluded.end();
+}
+
+void endpoint_group::state::collect(std::span<const std::string> excluded, std::uint64_t& random,
+                                    bool apply_ramp, time_point now) {
+    local.clear();
+    remote.clear();
+    for (std::uint32_t i = 0; i < entries.size(); ++i) {
+        const auto& e = entries[i];
+        if (e.health != endpoint_health::healthy || !has_room(e, excluded)) {
+            continue;
+        }
+        const double weight = apply_ramp ? e.ramp_weight(settings, now) : 1.0;
+        if (weight < 1.0) {
+            const double places = std::ceil(weight * e.places());
+            if (e.in_flight >= places || unit(next_random(random)) >= weight) {
+                continue;
+            }
+        }
+        auto& list = e.info.failure_domain == settings.failure_domain ? local : remote;
+        list.push_back(i);
+    }
+}
+
+std::uint32_t endpoint_group::state::due_probe(std::span<const std::string> excluded) const {
+    for (std::uint32_t i = 0; i < entries.size(); ++i) {
+        const auto& e = entries[i];
+        if (e.health == endpoint_health::probing && e.in_flight == 0 && has_room(e, excluded)) {
+            return i;
+        }
+    }
+    return UINT32_MAX;
+}
+
+std::uint32_t endpoint_group::state::better_of_two(const std::vector<std::uint32_t>& from,
+                                                   std::uint64_t& random, time_point now) const {
+    if (from.empty()) {
+        return UINT32_MAX;
+    }
+    const auto first = next_random(random) % from.size();
+    if (from.size() == 1) {
+        return from[first];
+    }
+    auto second = next_random(random) % (from.size() - 1);
+    second += second >= first ? 1 : 0;
+    const auto a = from[first];
+    const auto b = from[second];
+    return entries[b].score(median_ns, now) < entries[a].score(median_ns, now) ? b : a;
+}
+
+std::uint32_t endpoint_group::state::pick(std::uint64_t& random, time_point now) const {
+    const auto near = better_of_two(local, random, now);
+    const auto far = better_of_two(remote, random, now);
+    if (near == UINT32_MAX || far == UINT32_MAX) {
+        return near == UINT32_MAX ? far : near;
+    }
+    const bool spill =
+        entries[far].score(median_ns, now) * settings.spill_ratio < entries[near].score(median_ns, now);
+    return spill ? far : near;
+}
+
+endpoint_handle endpoint_group::choose(std::uint64_t random, std::span<const std::string> excluded,
+                                       time_point now, bool may_probe) {
+    auto& s = *state_;
+    s.advance_probes(now);
+    std::uint32_t chosen = UINT32_MAX;
+    if (may_probe && next_random(random) % probe_interval == 0) {
+        chosen = s.due_probe(excluded);
+    }
+    for (const bool apply_ramp : {true, false}) {
+        if (chosen == UINT32_MAX) {
+            s.collect(excluded, random, apply_ramp, now);
+            chosen = s.pick(random, now);
+        }
+    }
+    if (chosen != UINT32_MAX) {
+        ++s.entries[chosen].in_flight;
+    }
+    return {chosen};
+}
+
+void endpoint_group::finish(endpoint_handle handle, const attempt_report& report, time_point now) {
+    auto& s = *state_;
+    auto& e = s.entries.at(handle.index);
+    --e.in_flight;
+    e.observe(report, now);
+    if (++s.finishes % median_interval == 0 || s.median_ns == 0) {
+        s.refresh_median();
+    }
+    if (e.health == endpoint_health::probing) {
+        if (e.consecutive_failures > 0) {
+            e.eject(s.settings, now);
+        } else if (e.probe_successes >= s.settings.probes_to_return) {
+            e.readmit(now);
+        }
+        return;
+    }
+    const bool allowed = e.serves() && s.count_ejected() < s.max_ejected();
+    if (e.health == endpoint_health::healthy && allowed && e.is_ejection_due(s.settings, s.median_ns)) {
+        e.eject(s.settings, now);
+    }
+}
+
+void endpoint_group::abandon(endpoint_handle handle) {
+    --state_->entries.at(handle.index).in_flight;
+}
+
+void endpoint_group::report_load(const std::string& address, double load, time_point now) {
+    for (auto& e : state_->entries) {
+        if (e.info.address == address) {
+            e.reported_load = std::clamp(load, 0.0, 1.0);
+            e.load_reported = now;
+        }
+    }
+}
+
+const model::endpoint_info& endpoint_group::info(endpoint_handle handle) const {
+    return state_->entries.at(handle.index).info;
+}
+
+bool endpoint_group::is_cold(endpoint_handle handle, time_point now) const {
+    return state_->entries.at(handle.index).ramp_weight(state_->settings, now) < 1.0;
+}
+
+std::uint32_t endpoint_group::capacity(time_point /*now*/) const {
+    std::uint32_t total = 0;
+    for (const auto& e : state_->entries) {
+        total += e.serves() && e.health == endpoint_health::healthy ? e.places() : 0;
+    }
+    return total;
+}
+
+std::uint32_t endpoint_group::in_flight() const {
+    std::uint32_t total = 0;
+    for (const auto& e : state_->entries) {
+        total += e.in_flight;
+    }
+    return total;
+}
+
+duration endpoint_group::typical_latency() const {
+    return duration{static_cast<duration::rep>(state_->median_ns)};
+}
+
+duration endpoint_group::high_latency() const {
+    double high = 0;
+    for (const auto& e : state_->entries) {
+        if (e.serves() && e.health == endpoint_health::healthy && e.successes > 0) {
+            high = std::max(high, e.deviation_ns);
+        }
+    }
+    return high == 0 ? duration{0} : duration{static_cast<duration::rep>(state_->median_ns + 4 * high)};
+}
+
+std::size_t endpoint_group::ejected_count() const {
+    return state_->count_ejected();
+}
+
+std::vector<endpoint_status> endpoint_group::status(time_point /*now*/) const {
+    std::vector<endpoint_status> result;
+    for (const auto& e : state_->entries) {
+        result.push_back({e.info.address, e.in_flight, e.places(), e.health != endpoint_health::healthy,
+                          e.health == endpoint_health::probing, e.present, e.failure_ratio,
+                          duration{static_cast<duration::rep>(e.latency_ns)}});
+    }
+    return result;
+}
+
+} // namespace endive::calls
--- /dev/null
+++ b/src/calls/retry.cpp
@@ -0,0 +1,67 @@
+#include "endive/calls.h"
+
+namespace endive::calls {
+namespace {
+
+// A hedge before this delay costs more than it saves on loopback and on local networks.
+constexpr duration min_hedge_delay = milliseconds{5};
+// Delay while no latency is known.
+constexpr duration first_hedge_delay = milliseconds{250};
+
+} // namespace
+
+void retry_budget::on_request() {
+    tokens_ = std::min(burst_, tokens_ + ratio_);
+}
+
+bool retry_budget::take() {
+    if (tokens_ < 1.0) {
+        return false;
+    }
+    tokens_ -= 1.0;
+    return true;
+}
+
+bool may_retry(const retry_question& question) {
+    if (question.caller_attempt > 1 || question.from_deeper_layer) {
+        return false;
+    }
+    if (question.attempts_made >= max_attempts || question.remaining <= question.service_time) {
+        return false;
+    }
+    switch (question.executed) {
+    case execution::not_run:
+        return true;
+    case execution::unknown:
+        return question.idempotent;
+    case execution::ran:
+        return false;
+    }
+    return false;
+}
+
+std::optional<duration> hedge_delay(bool idempotent, std::uint32_t caller_attempt, duration high_latency,
+                                    duration remaining) {
+    if (!idempotent || caller_attempt > 1) {
+        return std::nullopt;
+    }
+    const auto delay =
+        high_latency == duration{0} ? first_hedge_delay : std::max(min_hedge_delay, high_latency);
+    if (delay >= remaining) {
+        return std::nullopt;
+    }
+    return delay;
+}
+
+connection_use decide_use(const connection_record& record, bool idempotent, time_point suspect_before,
+                          time_point now) {
+    const duration idle = now - record.last_response;
+    const duration allowed =
+        idempotent ? duration{config::silent_connection_timeout} : duration{config::fresh_connection_age};
+    if (idle > allowed || record.last_response < suspect_before) {
+        return connection_use::replace;
+    }
+    return connection_use::reuse;
+}
+
+} // namespace endive::calls
