--- a/include/endive/config.h
+++ b/include/endive/config.h
@@ -69,6 +69,11 @@
 inline constexpr std::size_t default_history_entries = 50;
 inline constexpr std::size_t max_history_entries = 1000;
 
+// Platform client.
+// Handles kept for reuse by each store; a burst above this opens extra handles and closes them afterwards.
+inline constexpr std::size_t max_idle_platform_handles = 16;
+inline constexpr std::size_t max_platform_answer_bytes = 64UL * 1024 * 1024;
+
 // Moves.
 inline constexpr double canary_share = 0.01;
 inline constexpr double canary_share_non_idempotent = 0.005;
