--- a/src/calls/endpoint_entry.cpp
+++ b/src/calls/endpoint_entry.cpp
@@ -19,13 +19,13 @@
 constexpr duration forget_ejections = std::chrono::seconds{60};
 constexpr std::uint32_t max_backoff_doublings = 16;
 
-[[nodiscard]] bool is_failure(model::call_outcome outcome) {
+} // namespace
+
+bool is_failure(model::call_outcome outcome) {
     return outcome == model::call_outcome::server_error || outcome == model::call_outcome::timeout ||
            outcome == model::call_outcome::connection_failed;
 }
 
-} // namespace
-
 std::uint32_t endpoint_entry::places() const {
     const auto adaptive = static_cast<std::uint32_t>(std::max(1.0, adaptive_limit));
     return std::min(limit, adaptive);
--- a/src/calls/endpoint_entry.h
+++ b/src/calls/endpoint_entry.h
@@ -5,6 +5,9 @@
 
 namespace endive::calls {
 
+/// True for outcomes that count against the endpoint.
+[[nodiscard]] bool is_failure(model::call_outcome outcome);
+
 enum class endpoint_health : std::uint8_t { healthy, ejected, probing };
 
 /// One endpoint of an `endpoint_group`.
--- a/src/calls/endpoint_group.cpp
+++ b/src/calls/endpoint_group.cpp
@@ -258,7 +258,7 @@
         s.refresh_median();
     }
     if (e.health == endpoint_health::probing) {
-        if (e.consecutive_failures > 0) {
+        if (is_failure(report.outcome)) {
             e.eject(s.settings, now);
         } else if (e.probe_successes >= s.settings.probes_to_return) {
             e.readmit(now);
