Add the caller port and the path of one call

A request finds its route in the view, waits for admission, goes to an endpoint on a pooled connection and comes back whole or as a refusal that says whether it ran.

--- a/include/endive/calls.h
+++ b/include/endive/calls.h
@@ -165,6 +165,9 @@
     [[nodiscard]] bool is_cold(endpoint_handle handle, time_point now) const;
     /// Places of all usable endpoints together.
     [[nodiscard]] std::uint32_t capacity(time_point now) const;
+    /// Places that a call could take at once.
+    [[nodiscard]] std::uint32_t free_places() const;
+    /// Reservations, those at ejected and absent endpoints included.
     [[nodiscard]] std::uint32_t in_flight() const;
     /// Average latency of successes; zero before the first.
     [[nodiscard]] duration typical_latency() const;
--- a/src/backends/connection.cpp
+++ b/src/backends/connection.cpp
@@ -102,6 +102,11 @@
 
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* target) {
     auto& buffer = *static_cast<response_buffer*>(target);
+    const auto& framing = buffer.head.framing;
+    if (!framing.chunked && !framing.content_length) {
+        buffer.unverifiable = true;
+        return 0;
+    }
     if (buffer.body.size() >= buffer.max_buffered) {
         buffer.paused = true;
         return CURL_WRITEFUNC_PAUSE;
--- a/src/backends/connection.h
+++ b/src/backends/connection.h
@@ -18,6 +18,7 @@
     bool head_complete = false;
     bool paused = false;
     bool no_body_request = false;
+    bool unverifiable = false; ///< the body would end with the connection
 };
 
 /// Owns the handles. Used by one thread at a time; the pool hands it over.
--- a/src/backends/http_exchange.cpp
+++ b/src/backends/http_exchange.cpp
@@ -110,6 +110,8 @@
         return transport_result::timed_out;
     case CURLE_PARTIAL_FILE:
         return transport_result::truncated;
+    case CURLE_WRITE_ERROR:
+        return buffer_.unverifiable ? transport_result::truncated : transport_result::malformed;
     case CURLE_RECV_ERROR:
     case CURLE_SEND_ERROR:
     case CURLE_GOT_NOTHING:
--- /dev/null
+++ b/src/callers/call_runner.cpp
@@ -0,0 +1,314 @@
+#include "callers/call_runner.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <sys/socket.h>
+
+namespace endive::callers {
+namespace {
+
+// A hedge that is this much faster than the first attempt shows that the first one's connection does not
+// answer.
+constexpr int silent_factor = 4;
+constexpr milliseconds silent_minimum{50};
+// Longest wait without looking at deadlines and at the other attempt.
+constexpr milliseconds max_wait{100};
+
+[[nodiscard]] caller_reply reply_of(const backends::response_head& head) {
+    caller_reply reply;
+    reply.status = head.status;
+    reply.headers = head.headers;
+    return reply;
+}
+
+} // namespace
+
+/// Passes a large response on while it arrives.
+class call_runner::response_stream final : public body_stream {
+public:
+    response_stream(call_environment& environment, call_context context, std::unique_ptr<attempt> source)
+        : runner_{environment, std::move(context)}, environment_{environment}, source_{std::move(source)},
+          head_latency_{environment.clock.now() - source_->began} {}
+    ~response_stream() override {
+        if (!ended_) {
+            source_->exchange->cancel();
+            environment_.counters.add("calls.cancelled");
+            end();
+        }
+    }
+
+    std::int64_t read(char* out, std::size_t max) override {
+        while (offset_ == chunk_.size()) {
+            chunk_ = source_->exchange->take_body();
+            offset_ = 0;
+            if (!chunk_.empty()) {
+                break;
+            }
+            if (ended_) {
+                return complete_ ? 0 : -1;
+            }
+            if (source_->exchange->step()) {
+                end();
+            } else if (source_->exchange->buffered() == 0) {
+                source_->exchange->wait(max_wait, nullptr, -1);
+            }
+        }
+        const auto count = std::min(max, chunk_.size() - offset_);
+        std::memcpy(out, chunk_.data() + offset_, count);
+        offset_ += count;
+        return static_cast<std::int64_t>(count);
+    }
+
+private:
+    void end() {
+        ended_ = true;
+        const auto seen = source_->exchange->result();
+        const auto verdict = calls::classify(seen);
+        complete_ = seen.transport == calls::transport_result::answered;
+        if (seen.transport == calls::transport_result::truncated) {
+            environment_.counters.add("calls.truncated");
+        }
+        runner_.context_.service->finish(source_->place, {verdict.outcome, head_latency_});
+        runner_.observe(*source_, verdict.outcome, head_latency_);
+    }
+
+    call_runner runner_;
+    call_environment& environment_;
+    std::unique_ptr<attempt> source_;
+    duration head_latency_;
+    std::string chunk_;
+    std::size_t offset_ = 0;
+    bool ended_ = false;
+    bool complete_ = false;
+};
+
+duration call_runner::time_to(time_point when) const {
+    return std::max(duration{0}, when - environment_.clock.now());
+}
+
+backends::backend_request call_runner::make_request(bool fresh) const {
+    backends::backend_request request;
+    request.method = context_.request->method;
+    request.target = context_.request->target;
+    request.body = context_.request->body;
+    request.idempotent = context_.idempotent;
+    request.fresh_connection = fresh;
+    request.deadline = context_.deadline;
+    request.headers = forwarded_headers(context_.request->headers);
+    const auto remaining = std::chrono::duration_cast<milliseconds>(time_to(context_.deadline));
+    request.headers.push_back({"endive-timeout-ms", std::to_string(remaining.count())});
+    request.headers.push_back({"endive-depth", std::to_string(context_.headers.depth + 1)});
+    const auto attempt_number = context_.headers.attempt + attempts_;
+    request.headers.push_back({"endive-attempt", std::to_string(attempt_number)});
+    return request;
+}
+
+std::unique_ptr<call_runner::attempt> call_runner::start(reservation place, bool fresh, bool hedge) {
+    auto result = std::make_unique<attempt>();
+    const auto share = std::floor(config::connection_reserve_ratio * place.endpoint.connections /
+                                  std::max(1U, context_.live_daemons));
+    const bool by_relay = environment_.relay != nullptr && share < 2 && !place.endpoint.relay.empty();
+    backends::transport& transport =
+        by_relay ? *environment_.relay : static_cast<backends::transport&>(environment_.direct);
+    tried_.push_back(place.endpoint.address);
+    result->began = environment_.clock.now();
+    result->hedge = hedge;
+    result->exchange = transport.start(place.endpoint, make_request(fresh));
+    result->place = std::move(place);
+    ++attempts_;
+    return result;
+}
+
+bool call_runner::caller_is_gone() {
+    if (!watch_caller_ || context_.request->socket < 0) {
+        return false;
+    }
+    char byte = 0;
+    const auto count = ::recv(context_.request->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0) {
+        watch_caller_ = false; // a pipelined request hides the end of the connection
+    }
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+bool call_runner::is_decided(const attempt& candidate) const {
+    return candidate.exchange->has_head() && candidate.exchange->buffered() >= environment_.stream_threshold;
+}
+
+std::unique_ptr<call_runner::attempt> call_runner::start_hedge(const attempt& primary) {
+    hedged_ = true;
+    if (!context_.service->take_retry_token()) {
+        environment_.counters.add("calls.refused_hedge_budget");
+        return nullptr;
+    }
+    auto place = context_.service->reserve_another(primary.place.version, tried_, false);
+    if (!place) {
+        place = context_.service->reserve_another(primary.place.version, {}, false);
+    }
+    if (!place) {
+        return nullptr;
+    }
+    environment_.counters.add("calls.hedged");
+    return start(std::move(*place), true, true);
+}
+
+void call_runner::drop_loser(attempt& loser, const attempt& winner) {
+    const auto now = environment_.clock.now();
+    const duration waited = now - loser.began;
+    const duration needed = now - winner.began;
+    const bool silent = !loser.exchange->has_head() && !loser.hedge &&
+                        waited > std::max<duration>(silent_minimum, needed * silent_factor);
+    loser.exchange->cancel();
+    if (silent) {
+        environment_.direct.mark_silent(loser.place.endpoint.address);
+    }
+    const auto outcome = silent ? model::call_outcome::timeout : model::call_outcome::cancelled;
+    context_.service->finish(loser.place, {outcome, waited});
+    observe(loser, outcome, waited);
+    if (winner.hedge) {
+        environment_.counters.add("calls.hedge_won");
+    }
+}
+
+/// Returns the attempt that ended or began to stream. `decided` tells which.
+std::unique_ptr<call_runner::attempt> call_runner::drive(std::unique_ptr<attempt> primary, bool& decided) {
+    std::unique_ptr<attempt> hedge;
+    const auto delay =
+        calls::hedge_delay(context_.idempotent && environment_.hedging, context_.headers.attempt,
+                           primary->place.high_latency, time_to(context_.deadline));
+    const auto hedge_at = primary->began + delay.value_or(duration{0});
+    const auto wins = [&](std::unique_ptr<attempt>& winner, std::unique_ptr<attempt>& loser) {
+        if (loser) {
+            drop_loser(*loser, *winner);
+        }
+        return std::move(winner);
+    };
+    while (true) {
+        for (auto* current : {&primary, &hedge}) {
+            auto& other = current == &primary ? hedge : primary;
+            if (!*current) {
+                continue;
+            }
+            const bool ended = (*current)->exchange->step();
+            if (ended) {
+                const auto verdict = calls::classify((*current)->exchange->result());
+                const bool answers =
+                    verdict.code == result_code::ok && verdict.outcome != model::call_outcome::shed;
+                if (answers || !other) {
+                    decided = false;
+                    return wins(*current, other);
+                }
+                // The other attempt may still answer.
+                (void)finish(**current);
+                current->reset();
+            } else if (is_decided(**current)) {
+                decided = true;
+                return wins(*current, other);
+            }
+        }
+        if (!primary) {
+            std::swap(primary, hedge);
+        }
+        if (caller_is_gone()) {
+            cancelled_ = true;
+            if (hedge) {
+                drop_loser(*hedge, *primary);
+            }
+            primary->exchange->cancel();
+            decided = false;
+            return primary;
+        }
+        const bool may_hedge = delay && !hedged_ && !primary->exchange->has_head();
+        if (may_hedge && time_to(hedge_at) == duration{0}) {
+            hedge = start_hedge(*primary);
+            continue;
+        }
+        const auto limit = may_hedge ? std::min<duration>(max_wait, time_to(hedge_at)) : duration{max_wait};
+        primary->exchange->wait(limit, hedge ? hedge->exchange.get() : nullptr,
+                                watch_caller_ ? context_.request->socket : -1);
+    }
+}
+
+void call_runner::observe(const attempt& ended, model::call_outcome outcome, duration latency) {
+    environment_.observations.on_call({context_.service_name, ended.place.version, context_.route,
+                                       context_.idempotent, outcome, latency, ended.place.cold});
+}
+
+call_runner::attempt_end call_runner::finish(attempt& ended) {
+    const auto seen = ended.exchange->result();
+    const auto verdict = calls::classify(seen);
+    const duration latency = environment_.clock.now() - ended.began;
+    context_.service->finish(ended.place, {verdict.outcome, latency});
+    observe(ended, verdict.outcome, latency);
+    return {verdict, seen};
+}
+
+std::unique_ptr<call_runner::attempt> call_runner::reserve_retry(const attempt& failed,
+                                                                 const attempt_end& end) {
+    calls::retry_question question;
+    question.idempotent = context_.idempotent;
+    question.caller_attempt = context_.headers.attempt;
+    question.attempts_made = attempts_;
+    question.executed = end.verdict.executed;
+    question.from_deeper_layer = end.seen.from_deeper_layer;
+    question.remaining = time_to(context_.deadline);
+    question.service_time = failed.place.typical_latency;
+    if (cancelled_ || !calls::may_retry(question)) {
+        return nullptr;
+    }
+    if (!context_.service->take_retry_token()) {
+        environment_.counters.add("calls.refused_retry_budget");
+        return nullptr;
+    }
+    auto place = context_.service->reserve_another(failed.place.version, tried_, false);
+    const bool shed = end.verdict.outcome == model::call_outcome::shed;
+    if (!place && !shed) {
+        place = context_.service->reserve_another(failed.place.version, {}, false);
+    }
+    if (!place) {
+        return nullptr;
+    }
+    const auto reason = shed ? std::string_view{"shed"} : to_string(end.verdict.code);
+    environment_.counters.add("calls.retried." + std::string{reason});
+    return start(std::move(*place), true, false);
+}
+
+call_end call_runner::make_end(std::unique_ptr<attempt> winner) {
+    call_end result;
+    result.reply = reply_of(winner->exchange->head());
+    result.reply.body = winner->exchange->take_body();
+    return result;
+}
+
+call_end call_runner::run(reservation first) {
+    auto current = start(std::move(first), false, false);
+    while (true) {
+        bool decided = false;
+        current = drive(std::move(current), decided);
+        if (decided) {
+            const auto& framing = current->exchange->head().framing;
+            call_end result;
+            result.reply = reply_of(current->exchange->head());
+            result.reply.stream_length = framing.chunked ? std::nullopt : framing.content_length;
+            result.reply.stream =
+                std::make_unique<response_stream>(environment_, context_, std::move(current));
+            result.streamed = true;
+            return result;
+        }
+        const auto end = finish(*current);
+        auto retry = reserve_retry(*current, end);
+        if (retry) {
+            current = std::move(retry);
+            continue;
+        }
+        if (end.verdict.code == result_code::ok) {
+            auto result = make_end(std::move(current));
+            result.executed = end.verdict.executed;
+            return result;
+        }
+        return {end.verdict.code, end.verdict.executed, {}, false};
+    }
+}
+
+} // namespace endive::callers
--- /dev/null
+++ b/src/callers/service_runtime.cpp
@@ -0,0 +1,230 @@
+#include "callers/service_runtime.h"
+
+#include <algorithm>
+
+namespace endive::callers {
+namespace {
+
+// A call that waits checks at least this often whether it has become too old.
+constexpr milliseconds queue_check_interval{20};
+
+} // namespace
+
+std::uint64_t service_runtime::next_random() {
+    random_ += 0x9e3779b97f4a7c15ULL;
+    std::uint64_t z = random_;
+    z = (z ^ (z >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27U)) * 0x94d049bb133111ebULL;
+    return z ^ (z >> 31U);
+}
+
+calls::admission_load service_runtime::load_of(const version_pool& pool, time_point now) {
+    const auto capacity = pool.group.capacity(now);
+    return {capacity - pool.group.free_places(), capacity, pool.group.typical_latency()};
+}
+
+reservation service_runtime::make_reservation(const std::string& version, const version_pool& pool,
+                                              calls::endpoint_handle handle, time_point now) const {
+    return {version,
+            pool.group.info(handle),
+            handle,
+            pool.group.is_cold(handle, now),
+            pool.group.typical_latency(),
+            pool.group.high_latency()};
+}
+
+void service_runtime::apply(const service_view& view) {
+    const auto now = clock_.now();
+    const std::scoped_lock lock{mutex_};
+    if (view.sequence <= sequence_) {
+        return;
+    }
+    sequence_ = view.sequence;
+    shares_ = view.shares;
+    for (const auto& [version, endpoints] : view.endpoints) {
+        auto& pool = pools_[version];
+        if (!pool) {
+            pool = std::make_unique<version_pool>(endpoint_settings_, admission_settings_);
+        }
+    }
+    for (auto& [version, pool] : pools_) {
+        const auto found = view.endpoints.find(version);
+        const std::span<const model::endpoint_info> endpoints =
+            found == view.endpoints.end() ? std::span<const model::endpoint_info>{} : found->second;
+        pool->group.update(endpoints, view.live_daemons, now);
+        const bool gets_traffic = std::any_of(shares_.begin(), shares_.end(), [&](const auto& s) {
+            return s.version == version && s.share > 0;
+        });
+        if (gets_traffic) {
+            start_waiting(version, *pool, now);
+            continue;
+        }
+        for (const auto ticket : pool->queue.take_all()) {
+            auto& waiting = *waiters_.at(ticket);
+            waiting.decided = true;
+            waiting.choose_again = true;
+            waiting.signal.notify_one();
+        }
+    }
+}
+
+void service_runtime::settle(const std::string& version, version_pool& pool,
+                             const calls::admission_action& action, time_point now) {
+    auto& waiting = *waiters_.at(action.ticket);
+    if (action.verdict == calls::admission_verdict::start) {
+        const auto handle = pool.group.choose(next_random(), {}, now, false);
+        if (handle.valid()) {
+            waiting.result.place = make_reservation(version, pool, handle, now);
+        } else {
+            waiting.result.code = result_code::call_overloaded;
+        }
+    } else {
+        waiting.result.code = action.code;
+    }
+    waiting.decided = true;
+    waiting.signal.notify_one();
+}
+
+void service_runtime::start_waiting(const std::string& version, version_pool& pool, time_point now) {
+    if (pool.queue.size() == 0) {
+        return;
+    }
+    for (const auto& action : pool.queue.advance(load_of(pool, now), now)) {
+        settle(version, pool, action, now);
+    }
+}
+
+reservation_result service_runtime::wait(std::unique_lock<std::mutex>& lock, const std::string& version,
+                                         version_pool& pool, std::uint64_t ticket, waiter& waiting) {
+    while (!waiting.signal.wait_for(lock, queue_check_interval, [&] { return waiting.decided; })) {
+        start_waiting(version, pool, clock_.now());
+    }
+    waiters_.erase(ticket);
+    return waiting.result;
+}
+
+reservation_result service_runtime::reserve(const reservation_request& request) {
+    std::unique_lock lock{mutex_};
+    while (true) {
+        const auto now = clock_.now();
+        const std::string version{calls::choose_version(shares_, next_random())};
+        const auto found = pools_.find(version);
+        if (version.empty() || found == pools_.end()) {
+            return {std::nullopt, result_code::call_no_endpoint};
+        }
+        auto& pool = *found->second;
+        start_waiting(version, pool, now);
+        const auto ticket = next_ticket_++;
+        const calls::admission_request asked{ticket, request.priority, request.deadline};
+        const auto actions = pool.queue.arrive(asked, load_of(pool, now), now);
+        for (std::size_t i = 1; i < actions.size(); ++i) {
+            settle(version, pool, actions[i], now);
+        }
+        switch (actions.front().verdict) {
+        case calls::admission_verdict::refused:
+            return {std::nullopt, actions.front().code};
+        case calls::admission_verdict::start: {
+            const auto handle = pool.group.choose(next_random(), {}, now, request.may_probe);
+            if (!handle.valid()) {
+                return {std::nullopt, result_code::call_overloaded};
+            }
+            return {make_reservation(version, pool, handle, now), result_code::ok};
+        }
+        case calls::admission_verdict::queued:
+            break;
+        }
+        waiter waiting;
+        waiters_[ticket] = &waiting;
+        const auto result = wait(lock, version, pool, ticket, waiting);
+        if (!waiting.choose_again) {
+            return result;
+        }
+    }
+}
+
+std::optional<reservation> service_runtime::reserve_another(const std::string& version,
+                                                            std::span<const std::string> excluded,
+                                                            bool may_probe) {
+    const auto now = clock_.now();
+    const std::scoped_lock lock{mutex_};
+    // A hold that arrived since the first attempt applies to the next one too.
+    const bool gets_traffic = std::any_of(shares_.begin(), shares_.end(),
+                                          [&](const auto& s) { return s.version == version && s.share > 0; });
+    const auto wanted = gets_traffic ? version : std::string{calls::choose_version(shares_, next_random())};
+    const auto found = pools_.find(wanted);
+    if (found == pools_.end()) {
+        return std::nullopt;
+    }
+    const auto handle = found->second->group.choose(next_random(), excluded, now, may_probe);
+    if (!handle.valid()) {
+        return std::nullopt;
+    }
+    return make_reservation(wanted, *found->second, handle, now);
+}
+
+void service_runtime::finish(const reservation& place, const calls::attempt_report& report) {
+    const auto now = clock_.now();
+    const std::scoped_lock lock{mutex_};
+    auto& pool = *pools_.at(place.version);
+    pool.group.finish(place.handle, report, now);
+    start_waiting(place.version, pool, now);
+}
+
+void service_runtime::abandon(const reservation& place) {
+    const std::scoped_lock lock{mutex_};
+    auto& pool = *pools_.at(place.version);
+    pool.group.abandon(place.handle);
+    start_waiting(place.version, pool, clock_.now());
+}
+
+void service_runtime::count_request() {
+    const std::scoped_lock lock{mutex_};
+    budget_.on_request();
+}
+
+bool service_runtime::take_retry_token() {
+    const std::scoped_lock lock{mutex_};
+    return budget_.take();
+}
+
+bool service_runtime::is_saturated() const {
+    const std::scoped_lock lock{mutex_};
+    return std::any_of(pools_.begin(), pools_.end(), [&](const auto& item) {
+        return item.second->queue.size() >= admission_settings_.max_queued;
+    });
+}
+
+std::size_t service_runtime::queued() const {
+    const std::scoped_lock lock{mutex_};
+    return waiters_.size();
+}
+
+std::size_t service_runtime::ejected() const {
+    const std::scoped_lock lock{mutex_};
+    std::size_t total = 0;
+    for (const auto& [version, pool] : pools_) {
+        total += pool->group.ejected_count();
+    }
+    return total;
+}
+
+std::vector<calls::endpoint_status> service_runtime::status() const {
+    const auto now = clock_.now();
+    const std::scoped_lock lock{mutex_};
+    std::vector<calls::endpoint_status> result;
+    for (const auto& [version, pool] : pools_) {
+        const auto part = pool->group.status(now);
+        result.insert(result.end(), part.begin(), part.end());
+    }
+    return result;
+}
+
+void service_runtime::report_load(const std::string& address, double load) {
+    const auto now = clock_.now();
+    const std::scoped_lock lock{mutex_};
+    for (auto& [version, pool] : pools_) {
+        pool->group.report_load(address, load, now);
+    }
+}
+
+} // namespace endive::callers
--- a/src/calls/endpoint_group.cpp
+++ b/src/calls/endpoint_group.cpp
@@ -300,6 +300,15 @@
     return total;
 }
 
+std::uint32_t endpoint_group::free_places() const {
+    std::uint32_t total = 0;
+    for (const auto& e : state_->entries) {
+        const bool usable = e.serves() && e.health == endpoint_health::healthy;
+        total += usable && e.in_flight < e.places() ? e.places() - e.in_flight : 0;
+    }
+    return total;
+}
+
 std::uint32_t endpoint_group::in_flight() const {
     std::uint32_t total = 0;
     for (const auto& e : state_->entries) {
