Implement the administration API and its HTTP server

Cause: operators and local backend servers talk to a daemon over HTTP. Change: admin_api turns one request into one response without sockets (tokens, preconditions, body limits, error bodies); admin_server puts it behind ulfius with its own listening socket, so that port 0 works and a port in use is named, with limits on connections, and waits for requests in flight when it stops.

--- a/include/endive/config.h
+++ b/include/endive/config.h
@@ -64,6 +64,8 @@
 // Administration API.
 inline constexpr std::uint32_t max_admin_connections = 64;
 inline constexpr auto admin_idle_timeout = 30s;
+// Longest wait for requests in flight when the administration server stops.
+inline constexpr auto admin_stop_timeout = 10s;
 inline constexpr std::size_t max_admin_body_bytes = 16UL * 1024;
 inline constexpr std::size_t max_idempotency_key_length = 128;
 inline constexpr std::size_t default_history_entries = 50;
--- a/include/endive/operators.h
+++ b/include/endive/operators.h
@@ -141,8 +141,10 @@
     std::string id;
     std::string team; ///< team of the token; the server has checked that the move belongs to it
     move_action action = move_action::pause;
-    std::uint64_t precondition_version = 0; ///< `move_status::row_version` that the operator saw
-    std::int64_t deadline_unix_ms = 0;      ///< the new deadline of `extend`
+    /// `move_status::row_version` that the operator saw. Empty for any version, which only `take_back`
+    /// allows: it is final, so no later change can be lost by it.
+    std::optional<std::uint64_t> precondition_version;
+    std::int64_t deadline_unix_ms = 0; ///< the new deadline of `extend`
     friend auto operator<=>(const move_action_request&, const move_action_request&) = default;
 };
 
@@ -256,6 +258,8 @@
     socket_address listen;                     ///< port 0 takes any free port
     std::map<std::string, std::string> tokens; ///< team to token
     std::string operators_token;               ///< read-only; empty for none
+    /// Further IPv4 addresses of this VM that may announce endpoints, besides loopback and `listen.host`.
+    std::vector<std::string> own_hosts;
     std::size_t max_body_bytes = config::max_questionnaire_bytes;
     std::uint32_t max_connections = config::max_admin_connections;
     std::chrono::seconds idle_timeout = config::admin_idle_timeout;
