--- a/src/daemon/admin_adapter.cpp
+++ b/src/daemon/admin_adapter.cpp
@@ -211,7 +211,7 @@
     endive::moves::operator_command command;
     command.kind = to_command(request.action);
     command.move_id = request.id;
-    command.expected_revision = request.precondition_version;
+    command.expected_revision = request.precondition_version.value_or(before.revision);
     command.new_deadline_unix_ms = request.deadline_unix_ms;
     command.operator_name = request.team;
     const auto wall = clock_.wall_now();
