--- a/src/distribution/config_puller.cpp
+++ b/src/distribution/config_puller.cpp
@@ -44,7 +44,9 @@
 version_digest config_puller::target(const config_store& store) const {
     version_digest best{store.version(), store.digest()};
     const auto consider = [&](version_digest has) {
-        if (has.version > best.version && !store.refused(has.version, has.digest)) {
+        const auto wanted =
+            has.version > best.version || (faults_.accept_older_versions && has.version != store.version());
+        if (wanted && !store.refused(has.version, has.digest)) {
             best = has;
         }
     };
@@ -58,7 +60,8 @@
 void config_puller::step(time_point now, const config_store& store, std::uint64_t required,
                          platform_calls& calls, std::vector<action>& actions) {
     const auto wanted = target(store);
-    if (wanted.version <= store.version()) {
+    const auto reached = wanted.version <= store.version();
+    if (faults_.accept_older_versions ? wanted.version == store.version() : reached) {
         pull_ = {};
         last_fault_.clear();
         return;
--- a/src/distribution/control_links.cpp
+++ b/src/distribution/control_links.cpp
@@ -72,7 +72,7 @@
 }
 
 void control_node::impl::manage_links() {
-    probe_dead_member();
+    probe_absent_member();
     if (leaving) {
         return;
     }
@@ -163,21 +163,29 @@
     }
 }
 
-/// Dials a dead member now and then, so that the two sides of a healed partition find each other.
-void control_node::impl::probe_dead_member() {
+/// Dials a member that is not live now and then, so that the sides of a healed partition, or groups that
+/// started without each other, find each other.
+void control_node::impl::probe_absent_member() {
     if (now < next_probe || leaving) {
         return;
     }
     next_probe = now + random.jittered(probe_interval);
     probe.reset();
-    std::vector<const member_id*> dead;
+    std::vector<member_id> absent;
     members.for_each([&](const member_record& record) {
         if (record.state == member_state::dead) {
-            dead.push_back(&record.id);
+            absent.push_back(record.id);
         }
     });
-    if (!dead.empty()) {
-        probe = *dead[random.below(dead.size())];
+    const auto add_unless_live = [&](const member_id& id) {
+        if (id != settings.id && !members.is_live(id)) {
+            absent.push_back(id);
+        }
+    };
+    std::ranges::for_each(settings.seeds, add_unless_live);
+    std::ranges::for_each(meeting.contacts(), add_unless_live);
+    if (!absent.empty()) {
+        probe = absent[random.below(absent.size())];
     }
 }
 
--- a/src/distribution/control_node.cpp
+++ b/src/distribution/control_node.cpp
@@ -21,7 +21,7 @@
 
 control_node::impl::impl(node_settings given, fault_switches faults)
     : settings{std::move(given)}, random{settings.seed}, members{own_record(settings)}, store{faults},
-      puller{random}, submissions{random, settings.id + "@" + std::to_string(settings.incarnation)},
+      puller{random, faults}, submissions{random, settings.id + "@" + std::to_string(settings.incarnation)},
       ownership{random, settings.id, faults}, meeting{random, settings.id, settings.failure_domain} {}
 
 std::vector<action> control_node::impl::handle(time_point at, event input) {
--- a/src/distribution/control_node_impl.h
+++ b/src/distribution/control_node_impl.h
@@ -80,7 +80,7 @@
     void drop_unwanted();
     void drop_silent();
     void watch_neighbours();
-    void probe_dead_member();
+    void probe_absent_member();
     void send_heartbeats();
     [[nodiscard]] heartbeat make_heartbeat();
     [[nodiscard]] std::set<member_id> wanted_members() const;
--- a/src/distribution/rendezvous.cpp
+++ b/src/distribution/rendezvous.cpp
@@ -83,6 +83,7 @@
     const auto row = result.row ? decode_rendezvous(result.row->value) : std::nullopt;
     const auto mine = row && row->member == self_;
     if (row && !mine && fresh(*row, wall)) {
+        contacts_ = {row->member};
         next_refresh_ = now + random_.jittered(watching);
         return;
     }
--- a/src/distribution/rendezvous.h
+++ b/src/distribution/rendezvous.h
@@ -20,7 +20,7 @@
     /// `alone`: no link is up. `keep`: take part in refreshing rows.
     void step(time_point now, std::size_t members, bool alone, bool keep, platform_calls& calls);
     void on_result(time_point now, wall_time wall, const platform_result& result, platform_calls& calls);
-    /// Members found in fresh rows by the last list.
+    /// Members found in fresh rows by the last list or read.
     [[nodiscard]] const std::vector<member_id>& contacts() const { return contacts_; }
 
 private:
