--- a/src/moves/tracked_move.cpp
+++ b/src/moves/tracked_move.cpp
@@ -175,17 +175,17 @@
     row.configured_deadline_unix_ms = move.deadline_unix_ms;
 }
 
-void tracked_move::add_evidence(const std::map<std::string, route_counts>& routes, double seconds,
+void tracked_move::add_evidence(std::span<const paired_evidence> routes, double seconds,
                                 const decision_context& context) {
     double requests = 0;
-    for (const auto& [route, counts] : routes) {
-        tests.add(route, counts.idempotent, counts.old_counts, counts.new_counts, seconds);
-        auto& entry = progress[route];
-        entry.idempotent = counts.idempotent;
-        entry.old_requests += static_cast<double>(counts.old_counts.requests);
-        entry.new_requests += static_cast<double>(counts.new_counts.requests);
-        requests += static_cast<double>(counts.old_counts.requests + counts.new_counts.requests);
-        new_requests += counts.new_counts.requests + counts.new_counts.cold_requests;
+    tests.add(routes, seconds);
+    for (const auto& item : routes) {
+        auto& entry = progress[item.route];
+        entry.idempotent = item.idempotent;
+        entry.old_requests += static_cast<double>(item.old_counts.requests);
+        entry.new_requests += static_cast<double>(item.new_counts.requests);
+        requests += static_cast<double>(item.old_counts.requests + item.new_counts.requests);
+        new_requests += item.new_counts.requests + item.new_counts.cold_requests;
     }
     const double factor = std::exp(-seconds / rate_window_seconds);
     rate_requests = rate_requests * factor + requests;
@@ -277,9 +277,12 @@
             return next;
         }
     }
+    const auto reserve_ms = duration_cast<milliseconds>(config::watch_control_reserve).count();
+    const bool control_ends = context.wall_ms >= row.deadline_unix_ms - reserve_ms;
     if (row.state == move_state::complete) {
         move_row next = row;
         next.state = move_state::watching;
+        next.control_share = control_ends ? 0 : config::watch_control_share;
         next.reason = "all traffic moved; the old version stays warm";
         return next;
     }
@@ -287,9 +290,16 @@
     if (!held && row.state == move_state::watching && context.wall_ms >= row.completed_unix_ms + watch_ms) {
         move_row next = row;
         next.state = move_state::done;
+        next.control_share = 0;
         next.reason = "watched without a fault";
         return next;
     }
+    if (row.control_share > 0 && control_ends) {
+        move_row next = row;
+        next.control_share = 0;
+        next.reason = "all traffic moved; control requests ended before the deadline";
+        return next;
+    }
     if (kind_of_risk(row.deadline_risk) != kind_of_risk(move.risk)) {
         move_row next = row;
         next.deadline_risk = move.risk;
--- a/src/moves/verdict.cpp
+++ b/src/moves/verdict.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 constexpr std::size_t signal_count = 4;
-// Requests to the new version in a row, without one to the old version, after which the old version counts as
-// gone: at a share of 50% that many happen by chance once in a million.
-constexpr double old_gone_after = 20;
+// With a smaller part of the traffic on the old version the comparison alone is too slow.
+constexpr double least_old_part = 0.05;
+constexpr double concurrent_seconds = 2;
 constexpr double recent_seconds = 10;
 
 /// Rates below these floors are never held against the new version.
@@ -22,16 +22,21 @@
     case signal::slow:
         return 0.08;
     case signal::connections:
-        return 0.30; // one dead endpoint of a few refuses up to a third of the connections until it is
-                     // ejected
+        // One dead endpoint of three refuses a third of the connections, but only for the seconds until it is
+        // ejected, which is too short to add up against this floor.
+        return 0.20;
     case signal::cold_failures:
         return 0.30; // a cold start may fail some requests; only a version that fails most of them is bad
     }
     return 0.30;
 }
 
-/// Baseline when the old version has no traffic any more, so that load cannot be told from the comparison.
-double remembered_rate(signal what, double rate) {
+/// Baseline when the old version has hardly any traffic, so that load cannot be told from the comparison.
+double remembered_rate(signal what, const paired_counts& memory) {
+    constexpr double prior_requests = 30;
+    // After a restart nothing is remembered; backend servers that restart as well fail some requests.
+    const double prior_rate = what == signal::failures ? 0.05 : floor_of(what);
+    const double rate = (memory.old_bad + prior_rate * prior_requests) / (memory.old_total + prior_requests);
     switch (what) {
     case signal::failures:
         return std::min(0.5, 3 * rate + 0.02);
@@ -66,11 +71,41 @@
             number(new_counts.cold_requests), number(new_counts.cold_failures), seconds};
 }
 
+/// Sum over the routes. The old version's bad requests are weighted to the new version's mix of routes, which
+/// differs because non-idempotent routes have a smaller share.
+class pooled_counts {
+public:
+    void add(const paired_counts& counts) {
+        // Unsmoothed: any pull towards earlier rates lets the begin of a load burst look like a fault.
+        const double rate = counts.old_total > 0 ? counts.old_bad / counts.old_total : 0;
+        sum_.old_total += counts.old_total;
+        sum_.old_bad += counts.old_bad;
+        // A route without old requests in this interval says nothing about this moment.
+        const double weight =
+            counts.new_total > 0 ? counts.old_total / (counts.old_total + counts.new_total) : 0;
+        sum_.new_total += weight * counts.new_total;
+        sum_.new_bad += weight * counts.new_bad;
+        expected_ += rate * weight * counts.new_total;
+    }
+    [[nodiscard]] paired_counts result(double seconds) const {
+        paired_counts counts = sum_;
+        counts.seconds = seconds;
+        if (counts.new_total > 0) {
+            counts.old_bad = counts.old_total * expected_ / counts.new_total;
+        }
+        return counts;
+    }
+
+private:
+    paired_counts sum_;
+    double expected_ = 0; ///< bad requests of the new version if it were like the old one
+};
+
 /// One signal of one route.
 class signal_test {
 public:
     signal_test(signal what, const rule_settings& settings)
-        : what_{what}, settings_{settings}, rule_{make_rule(settings)} {}
+        : what_{what}, settings_{settings}, rule_{make_rule(settings)}, margin_rule_{make_rule(settings)} {}
 
     void add(const paired_counts& increment) {
         pending_.old_total += increment.old_total;
@@ -84,21 +119,16 @@
         }
     }
 
-    [[nodiscard]] double strength() const { return rule_->evidence(); }
+    [[nodiscard]] double strength() const { return std::max(rule_->evidence(), margin_rule_->evidence()); }
 
     [[nodiscard]] signal_evidence evidence(const std::string& route) const {
-        return {route,
-                what_,
-                total_.old_total,
-                total_.old_bad,
-                total_.new_total,
-                total_.new_bad,
-                rule_->evidence()};
+        return {route, what_, total_.old_total, total_.old_bad, total_.new_total, total_.new_bad, strength()};
     }
     [[nodiscard]] const paired_counts& recent() const { return recent_; }
 
     void reset() {
         rule_ = make_rule(settings_);
+        margin_rule_ = make_rule(settings_);
         recent_ = {};
         pending_ = no_counts;
     }
@@ -113,17 +143,13 @@
             return;
         }
         note(counts);
-        if (counts.old_total > 0) {
-            new_since_old_ = 0;
-        } else {
-            new_since_old_ += counts.new_total;
-        }
-        if (new_since_old_ > old_gone_after && what_ != signal::cold_failures) {
-            const double rate = remembered_rate(what_, old_rate_);
+        rule_->add(counts);
+        if (old_part() < least_old_part || what_ == signal::cold_failures) {
+            const double rate = remembered_rate(what_, memory_);
             counts.old_total = 20 * counts.new_total;
             counts.old_bad = rate * counts.old_total;
+            margin_rule_->add(counts);
         }
-        rule_->add(counts);
     }
 
     void note(const paired_counts& counts) {
@@ -136,19 +162,28 @@
         total_.old_bad += counts.old_bad;
         total_.new_total += counts.new_total;
         total_.new_bad += counts.new_bad;
-        if (counts.old_total > 0) {
-            old_rate_ = recent_.old_bad / recent_.old_total;
+        const double factor_now = std::exp(-counts.seconds / concurrent_seconds);
+        concurrent_old_ = concurrent_old_ * factor_now + counts.old_total;
+        concurrent_new_ = concurrent_new_ * factor_now + counts.new_total;
+        if (old_part() >= least_old_part) {
+            memory_ = recent_;
         }
     }
 
+    [[nodiscard]] double old_part() const {
+        return concurrent_old_ / std::max(concurrent_old_ + concurrent_new_, 1e-9);
+    }
+
     signal what_;
     rule_settings settings_;
-    std::unique_ptr<sequential_rule> rule_;
+    std::unique_ptr<sequential_rule> rule_;        ///< against the old version at the same moment
+    std::unique_ptr<sequential_rule> margin_rule_; ///< against the remembered rate of the old version
     paired_counts pending_ = no_counts;
     paired_counts recent_;
     paired_counts total_;
-    double old_rate_ = 0;
-    double new_since_old_ = 0;
+    paired_counts memory_; ///< while the old version still had traffic
+    double concurrent_old_ = 0;
+    double concurrent_new_ = 0;
 };
 
 } // namespace
@@ -157,6 +192,16 @@
     decision_settings settings;
     double threshold = 0;
     std::map<std::string, std::vector<signal_test>, std::less<>> routes;
+
+    std::vector<signal_test>& tests_of(const std::string& route, bool idempotent) {
+        auto& tests = routes[route];
+        const double cut = idempotent ? 0 : settings.non_idempotent_threshold_cut;
+        for (std::size_t i = tests.size(); i < signal_count; ++i) {
+            const auto what = static_cast<signal>(i);
+            tests.emplace_back(what, rule_settings{settings.rule, threshold - cut, floor_of(what)});
+        }
+        return tests;
+    }
 };
 
 verdict_tests::verdict_tests(const decision_settings& settings, double threshold)
@@ -168,19 +213,19 @@
 verdict_tests::verdict_tests(verdict_tests&&) noexcept = default;
 verdict_tests& verdict_tests::operator=(verdict_tests&&) noexcept = default;
 
-void verdict_tests::add(const std::string& route, bool idempotent, const evidence_counts& old_counts,
-                        const evidence_counts& new_counts, double seconds) {
-    auto& tests = state_->routes[route];
-    if (tests.empty()) {
-        const double cut = idempotent ? 0 : state_->settings.non_idempotent_threshold_cut;
+void verdict_tests::add(std::span<const paired_evidence> routes, double seconds) {
+    std::array<pooled_counts, signal_count> pooled;
+    for (const auto& item : routes) {
+        auto& tests = state_->tests_of(item.route, item.idempotent);
         for (std::size_t i = 0; i < signal_count; ++i) {
-            const auto what = static_cast<signal>(i);
-            tests.emplace_back(what,
-                               rule_settings{state_->settings.rule, state_->threshold - cut, floor_of(what)});
+            const auto counts = counts_of(static_cast<signal>(i), item.old_counts, item.new_counts, seconds);
+            tests[i].add(counts);
+            pooled[i].add(counts);
         }
     }
+    auto& tests = state_->tests_of(std::string{pooled_route}, true);
     for (std::size_t i = 0; i < signal_count; ++i) {
-        tests[i].add(counts_of(static_cast<signal>(i), old_counts, new_counts, seconds));
+        tests[i].add(pooled[i].result(seconds));
     }
 }
 
