Add endivectl

Cause: operators need a command that works offline for checking and against several daemons for the rest. Change: commands check, generate, submit, diff, status, history, move, take-back and report; text or JSON output; the next daemon is tried when one is down or not ready, but never after a move action whose outcome is unknown; documented exit codes; result code admin_unreachable.

--- a/include/endive/result_codes.h
+++ b/include/endive/result_codes.h
@@ -79,6 +79,7 @@
     admin_body_too_large = 4010,
     admin_method_not_allowed = 4011,
     admin_forbidden = 4012,
+    admin_unreachable = 4013,
 
     // 5000: calls
     call_no_route = 5001,
--- a/src/base/result_codes.cpp
+++ b/src/base/result_codes.cpp
@@ -67,6 +67,7 @@
     {result_code::admin_body_too_large, "admin_body_too_large"},
     {result_code::admin_method_not_allowed, "admin_method_not_allowed"},
     {result_code::admin_forbidden, "admin_forbidden"},
+    {result_code::admin_unreachable, "admin_unreachable"},
     {result_code::call_no_route, "call_no_route"},
     {result_code::call_no_endpoint, "call_no_endpoint"},
     {result_code::call_overloaded, "call_overloaded"},
--- /dev/null
+++ b/src/ctl/commands.cpp
@@ -0,0 +1,242 @@
+#include "ctl/commands.h"
+
+#include "ctl/answers_commands.h"
+#include "ctl/text_output.h"
+
+#include <algorithm>
+#include <fstream>
+#include <ostream>
+
+namespace endive::ctl {
+namespace {
+
+[[noreturn]] void usage(const std::string& message) {
+    throw error{result_code::usage, message + "; see endivectl --help"};
+}
+
+void expect_arguments(const command_options& options, std::size_t count) {
+    if (options.arguments.size() != count) {
+        usage("the command " + options.arguments.front() + " takes " + std::to_string(count - 1) +
+              " arguments");
+    }
+}
+
+std::string read_token(const std::string& path) {
+    if (path.empty()) {
+        usage("--token-file is required");
+    }
+    std::ifstream file{path};
+    std::string token;
+    std::getline(file, token);
+    while (!token.empty() && std::isspace(static_cast<unsigned char>(token.back())) != 0) {
+        token.pop_back();
+    }
+    const bool printable = std::ranges::all_of(token, [](char c) { return c > ' ' && c < '\x7F'; });
+    if (token.empty() || !printable) {
+        usage("the first line of " + path + " holds no token");
+    }
+    return token;
+}
+
+daemon_client make_client(const command_options& options) {
+    if (options.daemons.empty()) {
+        usage("--daemon is required");
+    }
+    for (const auto& daemon : options.daemons) {
+        if (!parse_address(daemon)) {
+            usage("--daemon is \"" + daemon + "\", allowed: an IPv4 address and port such as 10.0.0.1:7001");
+        }
+    }
+    return {options.daemons, read_token(options.token_file)};
+}
+
+/// Fetches a document and writes it as JSON or as text.
+exit_code show(const command_options& options, std::ostream& out, const std::string& path,
+               std::string (*format)(const json&)) {
+    const auto body = make_client(options).call({"GET", path, {}, {}, true});
+    out << (options.json_output ? body.dump() + "\n" : format(body));
+    return exit_code::success;
+}
+
+json find_move(daemon_client& client, const std::string& id) {
+    const auto body = client.call({"GET", "/endive/v1/moves", {}, {}, true});
+    for (const auto& move : body.value("moves", json::array())) {
+        if (move.value("id", "") == id) {
+            return move;
+        }
+    }
+    throw error{result_code::move_not_found, "there is no move of this id", id};
+}
+
+void write_move(const command_options& options, const json& move, std::ostream& out) {
+    out << (options.json_output ? move.dump() + "\n" : move_text(move));
+}
+
+std::string action_body(const command_options& options, const std::string& action) {
+    if (action != "extend") {
+        return "{}";
+    }
+    if (!parse_rfc3339(options.deadline)) {
+        usage("move extend needs --deadline with an RFC 3339 time such as 2026-12-05T05:30:00Z");
+    }
+    return json{{"deadline", options.deadline}}.dump();
+}
+
+/// A take-back applies to any version of the move unless one is named; other actions need the version that
+/// the operator saw, or the current one.
+std::string action_precondition(const command_options& options, daemon_client& client, const std::string& id,
+                                const std::string& action) {
+    if (!options.if_match.empty()) {
+        return "\"" + std::to_string(parse_version(options.if_match)) + "\"";
+    }
+    if (action == "take-back") {
+        return "*";
+    }
+    return "\"" + std::to_string(find_move(client, id).value("row_version", 0ULL)) + "\"";
+}
+
+exit_code run_action(const command_options& options, const std::string& id, const std::string& action,
+                     std::ostream& out) {
+    const auto body = action_body(options, action);
+    auto client = make_client(options);
+    api_request request{"POST", "/endive/v1/moves/" + encode_segment(id) + "/" + action, {}, body, false};
+    request.headers["if-match"] = action_precondition(options, client, id, action);
+    // A second take-back changes nothing.
+    request.repeatable = action == "take-back";
+    write_move(options, client.call(request), out);
+    return exit_code::success;
+}
+
+std::string moves_body_text(const json& body) {
+    return moves_text(body.value("moves", json::array()));
+}
+
+exit_code run_move(const command_options& options, std::ostream& out) {
+    if (options.arguments.size() < 2) {
+        usage("the command move needs list, show, pause, resume or extend");
+    }
+    const auto& action = options.arguments[1];
+    if (action == "list") {
+        expect_arguments(options, 2);
+        return show(options, out, "/endive/v1/moves", moves_body_text);
+    }
+    const bool known = action == "show" || action == "pause" || action == "resume" || action == "extend";
+    if (!known) {
+        usage("the command move has no action " + action);
+    }
+    expect_arguments(options, 3);
+    if (action != "show") {
+        return run_action(options, options.arguments[2], action, out);
+    }
+    auto client = make_client(options);
+    write_move(options, find_move(client, options.arguments[2]), out);
+    return exit_code::success;
+}
+
+exit_code run_history(const command_options& options, std::ostream& out) {
+    expect_arguments(options, 1);
+    const auto query = options.limit == 0 ? "" : "?limit=" + std::to_string(options.limit);
+    return show(options, out, "/endive/v1/history" + query, history_text);
+}
+
+exit_code run_answers_command(const command_options& options, const clock_source& clock, std::ostream& out) {
+    expect_arguments(options, 2);
+    const auto& name = options.arguments.front();
+    if (name == "check") {
+        return run_check(options, clock, out);
+    }
+    if (name == "generate") {
+        return run_generate(options, clock, out);
+    }
+    auto client = make_client(options);
+    return name == "submit" ? run_submit(options, clock, client, out) : run_diff(options, clock, client, out);
+}
+
+exit_code dispatch(const command_options& options, const clock_source& clock, std::ostream& out) {
+    if (options.arguments.empty()) {
+        usage("a command is required");
+    }
+    const auto& name = options.arguments.front();
+    if (name == "check" || name == "generate" || name == "submit" || name == "diff") {
+        return run_answers_command(options, clock, out);
+    }
+    if (name == "status") {
+        expect_arguments(options, 1);
+        return show(options, out, "/endive/v1/status", status_text);
+    }
+    if (name == "report") {
+        expect_arguments(options, 1);
+        return show(options, out, "/endive/v1/report", report_text);
+    }
+    if (name == "history") {
+        return run_history(options, out);
+    }
+    if (name == "move") {
+        return run_move(options, out);
+    }
+    if (name == "take-back") {
+        expect_arguments(options, 2);
+        return run_action(options, options.arguments[1], name, out);
+    }
+    usage("there is no command " + name);
+}
+
+json error_json(const error& problem) {
+    if (const auto* remote = dynamic_cast<const remote_error*>(&problem)) {
+        return remote->body();
+    }
+    return {{"code", number(problem.code())},
+            {"name", to_string(problem.code())},
+            {"message", problem.what()},
+            {"place", problem.place()}};
+}
+
+void write_error(const command_options& options, const error& problem, std::ostream& out, std::ostream& err) {
+    const auto body = error_json(problem);
+    if (options.json_output) {
+        out << body.dump(-1, ' ', false, json::error_handler_t::replace) << '\n';
+        return;
+    }
+    err << "endivectl: " << to_string(problem.code()) << " (" << number(problem.code())
+        << "): " << problem.what();
+    if (!problem.place().empty()) {
+        err << ", at " << problem.place();
+    }
+    if (body.contains("current_version")) {
+        err << ", current version: " << body["current_version"].dump();
+    }
+    err << '\n';
+}
+
+} // namespace
+
+exit_code run_command(const command_options& options, const clock_source& clock, std::ostream& out,
+                      std::ostream& err) {
+    try {
+        return dispatch(options, clock, out);
+    } catch (const error& problem) {
+        write_error(options, problem, out, err);
+        return exit_code_of(problem.code());
+    } catch (const std::exception& problem) {
+        write_error(options, error{result_code::internal, problem.what()}, out, err);
+        return exit_code::internal;
+    }
+}
+
+std::string command_help() {
+    return "commands:\n"
+           "  check FILE               check a questionnaire (offline)\n"
+           "  generate FILE            print the generated part (offline; --out)\n"
+           "  submit FILE              submit a questionnaire (--if-match, --idempotency-key)\n"
+           "  diff FILE                compare a questionnaire with the accepted part\n"
+           "  status                   state of the fleet\n"
+           "  history                  accepted configuration versions (--limit)\n"
+           "  move list                all version moves\n"
+           "  move show ID             one version move with its evidence\n"
+           "  move pause|resume ID     pause or resume (--if-match)\n"
+           "  move extend ID           set a later --deadline (--if-match)\n"
+           "  take-back ID             give the new version no more traffic, for ever\n"
+           "  report                   measures and moves of all teams\n";
+}
+
+} // namespace endive::ctl
