--- a/include/endive/config.h
+++ b/include/endive/config.h
@@ -62,7 +62,8 @@
 inline constexpr double connection_reserve_ratio = 0.9;
 
 // Administration API.
-inline constexpr std::uint32_t max_admin_connections = 64;
+// Each connection may hold a questionnaire of 4 MiB before its token is checked.
+inline constexpr std::uint32_t max_admin_connections = 32;
 inline constexpr auto admin_idle_timeout = 30s;
 // Longest wait for requests in flight when the administration server stops.
 inline constexpr auto admin_stop_timeout = 10s;
--- a/src/ctl/text_output.cpp
+++ b/src/ctl/text_output.cpp
@@ -55,7 +55,7 @@
 }
 
 std::string line(const std::string& label, const std::string& value) {
-    constexpr std::size_t label_width = 22;
+    constexpr std::size_t label_width = 26;
     return label + std::string(label_width - std::min(label_width - 1, label.size()), ' ') + value + "\n";
 }
 
