fault_proxy: refuse new connections at once

Cause: while the proxy's thread polls, the kernel keeps a closed listening socket open, so a connect just after refuse_new was answered could still succeed; test_proxy_refuses_new_connections_and_keeps_old_ones failed. Change: shut the listening socket down before closing it.

--- a/tools/stand_in/fault_proxy/proxy.cpp
+++ b/tools/stand_in/fault_proxy/proxy.cpp
@@ -61,6 +61,13 @@
     }
 }
 
+/// While the thread polls, the kernel keeps a closed socket open; the shutdown refuses new connections at
+/// once.
+void stop_listening(int& socket) {
+    ::shutdown(socket, SHUT_RDWR);
+    close_plainly(socket);
+}
+
 void send_at_once(int socket) {
     const int on = 1;
     ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -162,7 +169,7 @@
         update(entry.faults[0], change.to_target);
         update(entry.faults[1], change.to_client);
         if (change.refuse_new && *change.refuse_new) {
-            close_plainly(entry.listener);
+            stop_listening(entry.listener);
         } else if (change.refuse_new && entry.listener < 0) {
             entry.listener = listen_on(entry.port);
         }
