Test each check of load_gen on its own

Cause: with the comparison of the request id removed from load_gen, all tests still passed, because the wrong response of the test also had a wrong checksum. Change: one header at a time is wrong; a fully right response counts as valid. Measured: with the comparison of the id removed, the test with the wrong id fails; unchanged, all pass.

--- a/tests/integration/test_tools.py
+++ b/tests/integration/test_tools.py
@@ -415,28 +415,34 @@
     assert records[-1]["latency_ms"] >= 40 * 50 - 390
 
 
-class Crossed(http.server.BaseHTTPRequestHandler):
+class WrongResponse(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    # XXH64 of the empty text, which is the body of both request and response.
+    right = {"endive-test-checksum": "ef46db3751d8e999", "endive-test-request-digest": "ef46db3751d8e999"}
+    wrong = {}
 
     def do_GET(self):
         self.send_response(200)
-        self.send_header("endive-test-id", "another")
-        self.send_header("endive-test-checksum", "0")
-        self.send_header("Content-Length", "0")
+        headers = {"endive-test-id": self.headers["endive-test-id"], "Content-Length": "0", **self.right}
+        for name, value in {**headers, **self.wrong}.items():
+            self.send_header(name, value)
         self.end_headers()
 
     def log_message(self, *arguments):
         pass
 
 
-def test_load_detects_responses_of_another_request(fleet):
-    with http.server.ThreadingHTTPServer(("127.0.0.1", 0), Crossed) as server:
+@pytest.mark.parametrize("header", [None, "endive-test-id", "endive-test-checksum",
+                                    "endive-test-request-digest"])
+def test_load_detects_responses_of_another_request(fleet, header):
+    WrongResponse.wrong = {header: "0000000000000000"} if header else {}
+    with http.server.ThreadingHTTPServer(("127.0.0.1", 0), WrongResponse) as server:
         server.daemon_threads = True
         threading.Thread(target=server.serve_forever, daemon=True).start()
         load = fleet.load([f"127.0.0.1:{server.server_address[1]}"], rate=50, duration_s=0.2, connections=2)
         summary, _ = fleet.load_result(load)
         server.shutdown()
-    assert (summary["valid"], summary["invalid"]) == (0, 10)
+    assert (summary["valid"], summary["invalid"]) == ((0, 10) if header else (10, 0))
 
 
 # ---- harness ---------------------------------------------------------------------------------------------
