--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -98,7 +98,10 @@
 
 
 class Process:
-    """One program. `log` holds standard error."""
+    """One program. `log` holds standard error.
+
+    Start it from the main thread: the kernel ends the child when the thread that started it ends.
+    """
 
     def __init__(self, name, arguments, folder):
         self.name = name
