--- a/include/endive/backends.h
+++ b/include/endive/backends.h
@@ -135,6 +135,29 @@
     [[nodiscard]] virtual relay_response send(const std::string& peer, const relay_request& request) = 0;
 };
 
+/// The receiving end of `relay` mode: owns the slots of the backend servers beside this daemon. Thread safe.
+class relay_receiver {
+public:
+    relay_receiver(transport& pool, const clock_source& clock, counter_set& counters);
+    /// Endpoints that are absent or do not serve get no new work.
+    void set_endpoints(std::span<const model::endpoint_info> endpoints);
+    /// Runs one relayed request; blocks until it has ended. Without a free slot it is refused as not run.
+    [[nodiscard]] relay_response handle(const relay_request& request);
+
+private:
+    struct place {
+        model::endpoint_info info;
+        std::uint32_t in_flight = 0;
+    };
+    [[nodiscard]] std::optional<model::endpoint_info> take_slot(const std::string& address);
+    void release_slot(const std::string& address);
+    transport& pool_;
+    const clock_source& clock_;
+    counter_set& counters_;
+    std::mutex mutex_;
+    std::map<std::string, place> places_; ///< by address
+};
+
 // ---- announcements ---------------------------------------------------------------------------------------
 
 /// The backend servers beside this daemon, from their announcements. Pure; not thread safe.
--- a/include/endive/calls.h
+++ b/include/endive/calls.h
@@ -115,6 +115,7 @@
     duration eject_backoff_max = std::chrono::seconds{60};
     std::uint32_t probes_to_return = 3;
     double max_ejected_ratio = config::max_ejected_ratio;
+    bool relay_available = false; ///< below a connection share of 2 the relaying daemon owns the slots
     friend bool operator==(const endpoint_settings&, const endpoint_settings&) = default;
 };
 
--- a/src/callers/call_runner.cpp
+++ b/src/callers/call_runner.cpp
@@ -12,6 +12,8 @@
 // answer.
 constexpr int silent_factor = 4;
 constexpr milliseconds silent_minimum{50};
+// A hedge that the budget refused is asked for again after this time.
+constexpr milliseconds hedge_retry_interval{20};
 // Longest wait without looking at deadlines and at the other attempt.
 constexpr milliseconds max_wait{100};
 
@@ -137,11 +139,11 @@
 }
 
 std::unique_ptr<call_runner::attempt> call_runner::start_hedge(const attempt& primary) {
-    hedged_ = true;
     if (!context_.service->take_retry_token()) {
         environment_.counters.add("calls.refused_hedge_budget");
         return nullptr;
     }
+    hedged_ = true;
     auto place = context_.service->reserve_another(primary.place.version, tried_, false);
     if (!place) {
         place = context_.service->reserve_another(primary.place.version, {}, false);
@@ -163,8 +165,11 @@
     if (silent) {
         environment_.direct.mark_silent(loser.place.endpoint.address);
     }
+    // A first attempt without a response head, overtaken by a later one, counts against its endpoint.
+    // Otherwise an endpoint that never answers would not be ejected while hedges hide it.
+    const bool overtaken = winner.hedge && !loser.exchange->has_head();
     const auto outcome = silent ? model::call_outcome::timeout : model::call_outcome::cancelled;
-    context_.service->finish(loser.place, {outcome, waited});
+    context_.service->finish(loser.place, {overtaken ? model::call_outcome::timeout : outcome, waited});
     observe(loser, outcome, waited);
     if (winner.hedge) {
         environment_.counters.add("calls.hedge_won");
@@ -177,7 +182,7 @@
     const auto delay =
         calls::hedge_delay(context_.idempotent && environment_.hedging, context_.headers.attempt,
                            primary->place.high_latency, time_to(context_.deadline));
-    const auto hedge_at = primary->began + delay.value_or(duration{0});
+    auto hedge_at = primary->began + delay.value_or(duration{0});
     const auto wins = [&](std::unique_ptr<attempt>& winner, std::unique_ptr<attempt>& loser) {
         if (loser) {
             drop_loser(*loser, *winner);
@@ -222,6 +227,7 @@
         const bool may_hedge = delay && !hedged_ && !primary->exchange->has_head();
         if (may_hedge && time_to(hedge_at) == duration{0}) {
             hedge = start_hedge(*primary);
+            hedge_at = environment_.clock.now() + std::max<duration>(*delay, hedge_retry_interval);
             continue;
         }
         const auto limit = may_hedge ? std::min<duration>(max_wait, time_to(hedge_at)) : duration{max_wait};
--- a/src/callers/proxy_server.cpp
+++ b/src/callers/proxy_server.cpp
@@ -1,3 +1,4 @@
+#include "backends/relay_exchange.h"
 #include "callers/call_runner.h"
 #include "callers/http_listener.h"
 #include "callers/operation_log.h"
@@ -61,6 +62,7 @@
     operation_log operations;
     backends::http_pool pool;
     call_environment environment;
+    std::optional<backends::relay_sender> relay;
     std::uint64_t seed;
     std::atomic<std::shared_ptr<const compiled_view>> active;
     std::mutex view_mutex; ///< serialises `set_view`
@@ -72,11 +74,11 @@
     void apply(std::shared_ptr<const request_view> view);
     caller_reply handle(const caller_request& request, bool too_large);
     caller_reply route_call(const caller_request& request);
-    caller_reply run_call(call_context context, const model::route& route);
-    caller_reply run_keyed(call_context context, const reservation_request& wanted);
+    caller_reply run_call(const call_context& context, const model::route& route);
+    caller_reply run_keyed(const call_context& context, const reservation_request& wanted);
     [[nodiscard]] call_end reserve_and_run(const call_context& context, const reservation_request& wanted);
     caller_reply finish_reply(call_end end, const std::string& operation);
-    caller_reply refuse(refusal reason);
+    caller_reply refuse(const refusal& reason);
     caller_reply describe_operation(std::string_view path);
 };
 
@@ -115,7 +117,7 @@
     active.store(std::move(next));
 }
 
-caller_reply proxy_server::state::refuse(refusal reason) {
+caller_reply proxy_server::state::refuse(const refusal& reason) {
     counters.add("calls.refused." + std::string{to_string(reason.code)});
     if (reason.executed == calls::execution::not_run) {
         totals.not_run.fetch_add(1, std::memory_order_relaxed);
@@ -195,15 +197,15 @@
     context.idempotent = route.idempotent;
     context.live_daemons = current->view->live_daemons;
     context.deadline = calls::deadline_of(context.headers, route, clock.now());
-    return run_call(std::move(context), route);
+    return run_call(context, route);
 }
 
-caller_reply proxy_server::state::run_call(call_context context, const model::route& route) {
+caller_reply proxy_server::state::run_call(const call_context& context, const model::route& route) {
     context.service->count_request();
     const reservation_request wanted{context.headers.priority.value_or(route.priority), context.deadline,
                                      context.idempotent};
     if (!context.idempotent && !context.headers.idempotency_key.empty()) {
-        return run_keyed(std::move(context), wanted);
+        return run_keyed(context, wanted);
     }
     return finish_reply(reserve_and_run(context, wanted), {});
 }
@@ -217,7 +219,7 @@
     return call_runner{environment, context}.run(std::move(*reserved.place));
 }
 
-caller_reply proxy_server::state::run_keyed(call_context context, const reservation_request& wanted) {
+caller_reply proxy_server::state::run_keyed(const call_context& context, const reservation_request& wanted) {
     const auto& key = context.headers.idempotency_key;
     if (context.service->is_saturated()) {
         return refuse({result_code::call_overloaded, calls::execution::not_run, {}, {}});
@@ -226,7 +228,7 @@
         calls::request_digest(context.request->method, context.request->target, context.request->body);
     auto opening = operations.open(context.service_name, key, digest);
     if (opening.refused) {
-        return refuse(std::move(*opening.refused));
+        return refuse(*opening.refused);
     }
     const auto path = operation_path(context.service_name, key);
     if (opening.stored) {
@@ -266,9 +268,14 @@
 
 proxy_server::proxy_server(proxy_settings settings, const clock_source& clock, counter_set& counters,
                            platform::table_store& table, observer& observations,
-                           backends::relay_transport* /*relay*/)
+                           backends::relay_transport* relay)
     : state_{std::make_unique<state>(std::move(settings), clock, counters, table, observations)} {
     auto& s = *state_;
+    if (relay != nullptr) {
+        s.relay.emplace(*relay, clock);
+        s.environment.relay = &*s.relay;
+        s.settings.endpoints.relay_available = true;
+    }
     listener_settings listening{s.settings.listen, s.settings.max_connections, s.settings.max_body_bytes,
                                 s.settings.idle_timeout, s.settings.read_timeout};
     s.listener = std::make_unique<http_listener>(
--- a/src/callers/service_runtime.cpp
+++ b/src/callers/service_runtime.cpp
@@ -47,7 +47,9 @@
             pool = std::make_unique<version_pool>(endpoint_settings_, admission_settings_);
         }
     }
-    for (auto& [version, pool] : pools_) {
+    for (auto& item : pools_) {
+        const auto& version = item.first;
+        auto& pool = item.second;
         const auto found = view.endpoints.find(version);
         const std::span<const model::endpoint_info> endpoints =
             found == view.endpoints.end() ? std::span<const model::endpoint_info>{} : found->second;
@@ -135,7 +137,7 @@
         }
         waiter waiting;
         waiters_[ticket] = &waiting;
-        const auto result = wait(lock, version, pool, ticket, waiting);
+        auto result = wait(lock, version, pool, ticket, waiting);
         if (!waiting.choose_again) {
             return result;
         }
--- a/src/calls/endpoint_group.cpp
+++ b/src/calls/endpoint_group.cpp
@@ -13,9 +13,13 @@
 // Observations of an absent endpoint are kept while the group has this many spare entries.
 constexpr std::size_t spare_entries = 8;
 
-[[nodiscard]] std::uint32_t place_limit(const model::endpoint_info& info, std::uint32_t live_daemons) {
+[[nodiscard]] std::uint32_t place_limit(const model::endpoint_info& info, std::uint32_t live_daemons,
+                                        bool relay_available) {
     const double share =
         std::floor(config::connection_reserve_ratio * info.connections / std::max(1U, live_daemons));
+    if (relay_available && share < 2 && !info.relay.empty()) {
+        return std::max(1U, info.slots);
+    }
     const auto connections = static_cast<std::uint32_t>(std::max(1.0, share));
     return std::max(1U, std::min(info.slots, connections));
 }
@@ -115,7 +119,7 @@
             entry.first_seen = now;
         }
         entry.info = info;
-        entry.limit = place_limit(info, live_daemons);
+        entry.limit = place_limit(info, live_daemons, s.settings.relay_available);
         found.push_back(static_cast<std::uint32_t>(&entry - s.entries.data()));
     }
     std::sort(found.begin(), found.end());
