--- a/include/endive/distribution.h
+++ b/include/endive/distribution.h
@@ -33,7 +33,7 @@
     std::string failure_domain;
     std::string region;
     std::vector<model::endpoint_info> endpoints;
-    friend auto operator<=>(const member_record&, const member_record&) = default;
+    friend bool operator==(const member_record&, const member_record&) = default;
 };
 
 enum class record_kind : std::uint8_t { hold, move_directive };
@@ -47,20 +47,20 @@
     std::uint64_t sequence = 0;
     bool final = false;
     std::string payload;
-    friend auto operator<=>(const replicated_record&, const replicated_record&) = default;
+    friend bool operator==(const replicated_record&, const replicated_record&) = default;
 };
 
 /// A named vector of counters. Increments of the same name add up element by element.
 struct counter_vector {
     std::string name;
     std::vector<std::uint64_t> values;
-    friend auto operator<=>(const counter_vector&, const counter_vector&) = default;
+    friend bool operator==(const counter_vector&, const counter_vector&) = default;
 };
 
 struct version_count {
     std::uint64_t version = 0;
     std::uint64_t daemons = 0;
-    friend auto operator<=>(const version_count&, const version_count&) = default;
+    friend bool operator==(const version_count&, const version_count&) = default;
 };
 
 /// A daemon that does not run the newest version it knows of.
@@ -68,7 +68,7 @@
     member_id id;
     std::uint64_t version = 0;
     std::string reason;
-    friend auto operator<=>(const laggard&, const laggard&) = default;
+    friend bool operator==(const laggard&, const laggard&) = default;
 };
 
 // ---- messages between daemons ----------------------------------------------------------------------------
@@ -82,13 +82,13 @@
     std::uint64_t members_digest = 0;
     std::uint64_t records_digest = 0;
     std::uint64_t lease_epoch = 0; ///< highest fencing epoch that the sender has seen
-    friend auto operator<=>(const heartbeat&, const heartbeat&) = default;
+    friend bool operator==(const heartbeat&, const heartbeat&) = default;
 };
 
 struct version_notice {
     std::uint64_t version = 0;
     std::uint64_t digest = 0;
-    friend auto operator<=>(const version_notice&, const version_notice&) = default;
+    friend bool operator==(const version_notice&, const version_notice&) = default;
 };
 
 /// Asks for one chunk of a delta (`base_version` > 0) or of the whole snapshot (`base_version` 0).
@@ -96,7 +96,7 @@
     std::uint64_t version = 0;
     std::uint64_t base_version = 0;
     std::uint32_t chunk = 0;
-    friend auto operator<=>(const config_request&, const config_request&) = default;
+    friend bool operator==(const config_request&, const config_request&) = default;
 };
 
 struct config_chunk {
@@ -106,7 +106,7 @@
     std::uint32_t chunk = 0;
     std::uint32_t chunks = 1;
     std::string bytes;
-    friend auto operator<=>(const config_chunk&, const config_chunk&) = default;
+    friend bool operator==(const config_chunk&, const config_chunk&) = default;
 };
 
 enum class config_refusal_reason : std::uint8_t { busy, version_absent, base_absent };
@@ -115,13 +115,13 @@
     std::uint64_t version = 0;
     std::uint64_t base_version = 0;
     config_refusal_reason reason = config_refusal_reason::busy;
-    friend auto operator<=>(const config_refusal&, const config_refusal&) = default;
+    friend bool operator==(const config_refusal&, const config_refusal&) = default;
 };
 
 /// Asks a peer for its version and the receiver's version floor, at a fresh start or after a pause.
 struct state_request {
     std::uint64_t nonce = 0;
-    friend auto operator<=>(const state_request&, const state_request&) = default;
+    friend bool operator==(const state_request&, const state_request&) = default;
 };
 
 struct state_answer {
@@ -130,7 +130,7 @@
     std::uint64_t version = 0;
     std::uint64_t digest = 0;
     std::uint64_t floor = 0; ///< version that the sender recorded for the receiver's member id
-    friend auto operator<=>(const state_answer&, const state_answer&) = default;
+    friend bool operator==(const state_answer&, const state_answer&) = default;
 };
 
 enum class table_kind : std::uint8_t { members, records };
@@ -140,17 +140,17 @@
     table_kind table = table_kind::members;
     bool reply = false; ///< answers another `table_digests`
     std::vector<std::uint64_t> buckets;
-    friend auto operator<=>(const table_digests&, const table_digests&) = default;
+    friend bool operator==(const table_digests&, const table_digests&) = default;
 };
 
 struct member_update {
     std::vector<member_record> members;
-    friend auto operator<=>(const member_update&, const member_update&) = default;
+    friend bool operator==(const member_update&, const member_update&) = default;
 };
 
 struct record_update {
     std::vector<replicated_record> records;
-    friend auto operator<=>(const record_update&, const record_update&) = default;
+    friend bool operator==(const record_update&, const record_update&) = default;
 };
 
 /// Sums over the sender's subtree of the report tree. Evidence holds increments since the last report.
@@ -160,7 +160,7 @@
     std::vector<version_count> counts;
     std::vector<laggard> laggards;
     std::vector<counter_vector> evidence;
-    friend auto operator<=>(const subtree_report&, const subtree_report&) = default;
+    friend bool operator==(const subtree_report&, const subtree_report&) = default;
 };
 
 /// The root's totals on their way down the tree.
@@ -169,7 +169,7 @@
     std::uint64_t sequence = 0; ///< Unix milliseconds at the root
     std::vector<version_count> counts;
     std::vector<laggard> laggards;
-    friend auto operator<=>(const fleet_totals&, const fleet_totals&) = default;
+    friend bool operator==(const fleet_totals&, const fleet_totals&) = default;
 };
 
 using message =
@@ -362,7 +362,7 @@
     bool ready = false;
     std::uint64_t newest_known = 0;
     std::string lag_reason; ///< empty while `version` is `newest_known`
-    friend auto operator<=>(const config_status&, const config_status&) = default;
+    friend bool operator==(const config_status&, const config_status&) = default;
 };
 
 /// The fleet as of the last totals from the root.
@@ -375,7 +375,7 @@
     std::vector<version_count> counts;
     std::vector<laggard> laggards;
     milliseconds age{0}; ///< time since the totals arrived
-    friend auto operator<=>(const convergence_status&, const convergence_status&) = default;
+    friend bool operator==(const convergence_status&, const convergence_status&) = default;
 };
 
 struct ownership_status {
@@ -400,7 +400,7 @@
     std::uint64_t table_writes = 0;
     std::uint64_t refutations = 0;
     std::uint64_t pauses = 0;
-    friend auto operator<=>(const control_stats&, const control_stats&) = default;
+    friend bool operator==(const control_stats&, const control_stats&) = default;
 };
 
 /// What a daemon is given at construction.
--- a/src/distribution/acceptance.cpp
+++ b/src/distribution/acceptance.cpp
@@ -203,7 +203,7 @@
     retry(now, result.code, "head: ", output);
 }
 
-void acceptance::retry(time_point now, result_code code, std::string text, acceptance_output& output) {
+void acceptance::retry(time_point now, result_code code, const std::string& text, acceptance_output& output) {
     phase_ = phase::start;
     next_step_ = now + backoff_.next(random_);
     if (next_step_ < queue_.front().deadline) {
--- a/src/distribution/acceptance.h
+++ b/src/distribution/acceptance.h
@@ -55,7 +55,7 @@
     [[nodiscard]] bool settled_by(const head_row& head, acceptance_output& output);
     void merge(time_point now, const model::snapshot& base, platform_calls& calls, acceptance_output& output);
     void write_head(time_point now, platform_calls& calls);
-    void retry(time_point now, result_code code, std::string text, acceptance_output& output);
+    void retry(time_point now, result_code code, const std::string& text, acceptance_output& output);
     void finish(submit_finished outcome, acceptance_output& output);
     void fail(result_code code, std::string text, acceptance_output& output);
 
--- a/src/distribution/config_puller.cpp
+++ b/src/distribution/config_puller.cpp
@@ -32,7 +32,8 @@
 }
 
 version_digest config_puller::newest(const config_store& store) const {
-    auto best = std::max(version_digest{store.version(), store.digest()}, head_);
+    version_digest best{store.version(), store.digest()};
+    best = head_.version > best.version ? head_ : best;
     for (const auto& [peer, has] : peers_) {
         if (has.version > best.version) {
             best = has;
@@ -143,8 +144,9 @@
     last_fault_ = result.outcome == offer_outcome::refused ? result.reason : std::string{};
 }
 
-std::optional<offer_result> config_puller::on_chunk(time_point now, const member_id& from, config_chunk chunk,
-                                                    config_store& store, std::vector<action>& actions) {
+std::optional<offer_result> config_puller::on_chunk(time_point now, const member_id& from,
+                                                    const config_chunk& chunk, config_store& store,
+                                                    std::vector<action>& actions) {
     const auto expected = pull_.from == source::peer && pull_.peer == from &&
                           pull_.wanted == version_digest{chunk.version, chunk.digest} &&
                           pull_.base == chunk.base_version && pull_.next_chunk == chunk.chunk &&
--- a/src/distribution/config_puller.h
+++ b/src/distribution/config_puller.h
@@ -13,7 +13,7 @@
 struct version_digest {
     std::uint64_t version = 0;
     std::uint64_t digest = 0;
-    friend auto operator<=>(const version_digest&, const version_digest&) = default;
+    friend bool operator==(const version_digest&, const version_digest&) = default;
 };
 
 struct pull_counts {
@@ -31,7 +31,7 @@
     void learn(const member_id& peer, version_digest has);
     void forget(const member_id& peer);
     /// The table names this version.
-    void learn_head(version_digest head) { head_ = std::max(head_, head); }
+    void learn_head(version_digest head) { head_ = head.version > head_.version ? head : head_; }
     [[nodiscard]] version_digest peer_version(const member_id& peer) const;
 
     /// Newest known version that the store has not refused; the store's own when none is newer.
@@ -43,7 +43,7 @@
               std::vector<action>& actions);
 
     /// The outcome when the chunk completes a version.
-    std::optional<offer_result> on_chunk(time_point now, const member_id& from, config_chunk chunk,
+    std::optional<offer_result> on_chunk(time_point now, const member_id& from, const config_chunk& chunk,
                                          config_store& store, std::vector<action>& actions);
     void on_refusal(time_point now, const member_id& from, const config_refusal& refusal);
     std::optional<offer_result> on_object(time_point now, const platform_result& result, config_store& store);
--- a/src/distribution/control_config.cpp
+++ b/src/distribution/control_config.cpp
@@ -167,8 +167,8 @@
     send(from, message_priority::configuration, std::move(answer));
 }
 
-void control_node::impl::receive(const member_id& from, config_chunk& input) {
-    if (const auto outcome = puller.on_chunk(now, from, std::move(input), store, out)) {
+void control_node::impl::receive(const member_id& from, const config_chunk& input) {
+    if (const auto outcome = puller.on_chunk(now, from, input, store, out)) {
         after_offer(*outcome);
     }
 }
--- a/src/distribution/control_links.cpp
+++ b/src/distribution/control_links.cpp
@@ -42,7 +42,7 @@
         }
     });
     ring.push_back(self);
-    std::ranges::sort(ring);
+    std::sort(ring.begin(), ring.end());
     const auto was_root = overlay.members > 0 && overlay.root();
     overlay = compute_overlay(ring, self);
     if (overlay.root() && !was_root) {
--- a/src/distribution/control_members.cpp
+++ b/src/distribution/control_members.cpp
@@ -120,15 +120,23 @@
 }
 
 void control_node::impl::queue_member(const member_id& id, const member_id& origin) {
-    const auto [found, added] = member_floods.try_emplace(id, origin);
-    if (!added && found->second != origin) {
-        found->second.clear();
+    auto& holders = member_floods[id];
+    holders.clear();
+    if (!origin.empty()) {
+        holders.push_back(origin);
     }
     const auto* record = members.find(id);
     flood_urgent = flood_urgent || (record != nullptr && ends_new_work(*record));
 }
 
-/// Sends queued member changes to all links but the one that each came from.
+/// A peer that sent the record that is queued needs no copy of it.
+void control_node::impl::note_holder(const member_id& id, const member_id& peer) {
+    if (const auto found = member_floods.find(id); found != member_floods.end()) {
+        found->second.push_back(peer);
+    }
+}
+
+/// Sends queued member changes to all links but those that have them.
 void control_node::impl::flush_members() {
     flood_urgent = false;
     const auto floods = std::exchange(member_floods, {});
@@ -137,9 +145,9 @@
     }
     for (const auto& [to, link] : links) {
         std::vector<member_record> list;
-        for (const auto& [id, origin] : floods) {
+        for (const auto& [id, holders] : floods) {
             const auto* record = members.find(id);
-            if (origin != to && record != nullptr) {
+            if (record != nullptr && std::ranges::find(holders, to) == holders.end()) {
                 list.push_back(*record);
             }
         }
@@ -152,6 +160,7 @@
     for (const auto& incoming : input.members) {
         switch (members.merge(now, incoming)) {
         case merge_outcome::unchanged:
+            note_holder(incoming.id, from);
             break;
         case merge_outcome::changed:
             queue_member(incoming.id, from);
--- a/src/distribution/control_node.cpp
+++ b/src/distribution/control_node.cpp
@@ -98,7 +98,7 @@
     begin_verification("the process was paused");
 }
 
-void control_node::impl::on(link_up input) {
+void control_node::impl::on(const link_up& input) {
     if (input.member == settings.id) {
         out.emplace_back(close_link{input.member});
         return;
@@ -115,7 +115,7 @@
     check.next_request = now;
 }
 
-void control_node::impl::on(link_down input) {
+void control_node::impl::on(const link_down& input) {
     links.erase(input.member);
     puller.forget(input.member);
     server.forget(input.member);
@@ -135,7 +135,7 @@
     std::visit([&](auto& content) { receive(input.from, content); }, input.content);
 }
 
-void control_node::impl::on(platform_result input) {
+void control_node::impl::on(const platform_result& input) {
     if (const auto who = calls.finish(input)) {
         answer(*who, input);
     }
--- a/src/distribution/control_node_impl.h
+++ b/src/distribution/control_node_impl.h
@@ -54,10 +54,10 @@
     // control_node.cpp
     std::vector<action> handle(time_point now, event input);
     void on(tick input);
-    void on(link_up input);
-    void on(link_down input);
+    void on(const link_up& input);
+    void on(const link_down& input);
     void on(message_received input);
-    void on(platform_result input);
+    void on(const platform_result& input);
     void on(local_endpoints input);
     void on(submit_request input);
     void on(publish_record input);
@@ -97,7 +97,7 @@
     void take(acceptance_output& output);
     void receive(const member_id& from, const version_notice& input);
     void receive(const member_id& from, const config_request& input);
-    void receive(const member_id& from, config_chunk& input);
+    void receive(const member_id& from, const config_chunk& input);
     void receive(const member_id& from, const config_refusal& input);
     void receive(const member_id& from, const state_request& input);
     void receive(const member_id& from, const state_answer& input);
@@ -112,6 +112,7 @@
     void receive(const member_id& from, const fleet_totals& input);
     void compare_digest(const member_id& from, link_state& link, table_kind table, bool differs);
     void queue_member(const member_id& id, const member_id& origin);
+    void note_holder(const member_id& id, const member_id& peer);
     void flush_members();
     void flood_records(const std::vector<replicated_record>& records, const member_id& origin);
     void send_members(const member_id& to, const std::vector<member_record>& records);
@@ -161,7 +162,7 @@
     std::uint64_t heartbeat_sequence = 0;
     std::array<time_point, 2> next_repair{}; ///< by table_kind
 
-    std::map<member_id, member_id> member_floods; ///< changed member and the link it came from
+    std::map<member_id, std::vector<member_id>> member_floods; ///< changed members and peers that know
     bool flood_urgent = false;
     std::uint64_t shown_live = 0;
     std::uint64_t shown_endpoints = 0;
--- a/src/distribution/convergence_report.cpp
+++ b/src/distribution/convergence_report.cpp
@@ -17,6 +17,7 @@
 
 std::vector<version_count> to_counts(const std::map<std::uint64_t, std::uint64_t>& sums) {
     std::vector<version_count> counts;
+    counts.reserve(sums.size());
     for (const auto& [version, daemons] : sums) {
         counts.push_back({version, daemons});
     }
--- a/src/distribution/overlay.cpp
+++ b/src/distribution/overlay.cpp
@@ -23,7 +23,7 @@
     const auto count = ring.size();
     overlay_view view;
     view.members = count;
-    view.index = static_cast<std::size_t>(std::ranges::lower_bound(ring, self) - ring.begin());
+    view.index = static_cast<std::size_t>(std::lower_bound(ring.begin(), ring.end(), self) - ring.begin());
     for (const auto distance : ring_distances(count)) {
         const auto& ahead = ring[(view.index + distance) % count].id;
         const auto& behind = ring[(view.index + count - distance) % count].id;
@@ -32,8 +32,8 @@
         view.neighbours.push_back(behind);
     }
     std::ranges::sort(view.neighbours);
-    const auto repeated = std::ranges::unique(view.neighbours);
-    view.neighbours.erase(repeated.begin(), repeated.end());
+    // clang 14 does not compile std::ranges::unique of this standard library.
+    view.neighbours.erase(std::unique(view.neighbours.begin(), view.neighbours.end()), view.neighbours.end());
     if (view.index > 0) {
         view.parent = ring[(view.index - 1) / config::report_fanout].id;
     }
--- a/src/distribution/overlay.h
+++ b/src/distribution/overlay.h
@@ -9,7 +9,10 @@
 struct ring_entry {
     std::uint64_t hash = 0;
     member_id id;
-    friend auto operator<=>(const ring_entry&, const ring_entry&) = default;
+    friend bool operator==(const ring_entry&, const ring_entry&) = default;
+    friend bool operator<(const ring_entry& left, const ring_entry& right) {
+        return std::tie(left.hash, left.id) < std::tie(right.hash, right.id);
+    }
 };
 
 [[nodiscard]] ring_entry ring_entry_of(const member_id& id);
@@ -23,7 +26,7 @@
     std::optional<member_id> parent;   ///< in the report tree; empty at the root
     std::vector<member_id> children;
     [[nodiscard]] bool root() const { return index == 0; }
-    friend auto operator<=>(const overlay_view&, const overlay_view&) = default;
+    friend bool operator==(const overlay_view&, const overlay_view&) = default;
 };
 
 /// Ring distances of the links a member chooses in a ring of `members`: 1, 2, n/2, n/4 and so on.
--- a/src/distribution/table_rows.h
+++ b/src/distribution/table_rows.h
@@ -14,7 +14,7 @@
     std::string write_id;
     std::uint64_t version = 0;
     std::uint64_t request_digest = 0;
-    friend auto operator<=>(const accepted_write&, const accepted_write&) = default;
+    friend bool operator==(const accepted_write&, const accepted_write&) = default;
 };
 
 struct head_row {
@@ -23,7 +23,7 @@
     std::uint64_t digest = 0;
     std::string write_id;
     std::vector<accepted_write> recent; ///< newest last
-    friend auto operator<=>(const head_row&, const head_row&) = default;
+    friend bool operator==(const head_row&, const head_row&) = default;
 };
 
 struct lease_row {
@@ -31,14 +31,14 @@
     std::uint64_t epoch = 0;
     std::int64_t expires_at_unix_ms = 0;
     std::string write_id;
-    friend auto operator<=>(const lease_row&, const lease_row&) = default;
+    friend bool operator==(const lease_row&, const lease_row&) = default;
 };
 
 struct rendezvous_row {
     member_id member;
     std::string address;
     std::int64_t time_unix_ms = 0;
-    friend auto operator<=>(const rendezvous_row&, const rendezvous_row&) = default;
+    friend bool operator==(const rendezvous_row&, const rendezvous_row&) = default;
 };
 
 [[nodiscard]] std::string encode(const head_row& value);
--- a/src/peers/transport_loop.cpp
+++ b/src/peers/transport_loop.cpp
@@ -184,7 +184,8 @@
         }
     }
     while (!links_.empty()) {
-        drop(links_.begin()->second, result_code::peer_link_closed, false);
+        const auto link = links_.begin()->second;
+        drop(link, result_code::peer_link_closed, false);
     }
 }
 
@@ -403,22 +404,21 @@
     if (phase == link_phase::closed) {
         return;
     }
-    const auto keep_alive = link;
-    links_.erase(keep_alive->fd());
+    links_.erase(link->fd());
     auto reported = report;
     if (phase == link_phase::up) {
         const std::unique_lock guard{up_mutex_};
-        up_.erase(keep_alive->member);
+        up_.erase(link->member);
         ++counters_.links_closed;
-    } else if (keep_alive->dialed) {
-        dialing_.erase(keep_alive->member);
-        reported = report && !up_.contains(keep_alive->member);
+    } else if (link->dialed) {
+        dialing_.erase(link->member);
+        reported = report && !up_.contains(link->member);
     } else {
         reported = false;
     }
-    keep_alive->close();
+    link->close();
     if (reported) {
-        listener_.on_link_down(keep_alive->member, reason);
+        listener_.on_link_down(link->member, reason);
     }
 }
 
--- a/src/peers/transport_loop.h
+++ b/src/peers/transport_loop.h
@@ -80,6 +80,7 @@
     [[nodiscard]] bool replaces(const peer_link& incoming, const peer_link& existing) const;
     void count_fault(result_code code);
     /// Closes the link; the listener hears of it when the link was up or was being dialed.
+    /// Precondition: `link` is not an element of a container of this class.
     void drop(const link_pointer& link, result_code reason, bool report = true);
     void check_timeouts();
 
--- a/tests/distribution/overlay_test.cpp
+++ b/tests/distribution/overlay_test.cpp
@@ -16,7 +16,7 @@
     for (const auto& id : ids) {
         ring.push_back(ring_entry_of(id));
     }
-    std::ranges::sort(ring);
+    std::sort(ring.begin(), ring.end());
     std::vector<overlay_view> views;
     for (const auto& entry : ring) {
         views.push_back(compute_overlay(ring, entry));
--- a/tests/distribution/support.h
+++ b/tests/distribution/support.h
@@ -5,7 +5,6 @@
 #include "endive/distribution.h"
 
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <rapidcheck.h>
 
 namespace endive::distribution::test {
