--- a/include/endive/config.h
+++ b/include/endive/config.h
@@ -16,12 +16,24 @@
 inline constexpr std::size_t max_routes = 8192;
 inline constexpr std::size_t max_endpoints_per_service = 2048;
 inline constexpr std::size_t max_name_length = 63;
+inline constexpr std::size_t max_text_length = 200;
+inline constexpr std::size_t max_path_prefix_length = 512;
+inline constexpr std::size_t max_regions = 16;
+inline constexpr std::size_t max_failure_domains = 64;
+inline constexpr std::size_t max_releases_per_service = 64;
+inline constexpr std::size_t max_moves = 4096;
+inline constexpr std::uint32_t max_slots = 4096;
+inline constexpr std::uint32_t max_connections = 65535;
+inline constexpr std::uint32_t max_timeout_ms = 600'000;
+inline constexpr std::uint32_t max_priority = 3;
 
 // Peer links.
 inline constexpr std::size_t max_frame_bytes = 1024UL * 1024;
 inline constexpr std::size_t snapshot_chunk_bytes = 64UL * 1024;
 inline constexpr std::size_t max_overlay_links = 12;
 inline constexpr std::size_t max_link_queue_messages = 256;
+// A slow peer costs at most this much memory, whatever the size of its messages.
+inline constexpr std::size_t max_link_queue_bytes = 8UL * 1024 * 1024;
 inline constexpr auto heartbeat_interval = 1000ms;
 inline constexpr auto suspect_after = 3000ms;
 inline constexpr auto dead_after_suspect = 3000ms;
@@ -38,6 +50,26 @@
 inline constexpr auto rendezvous_refresh = 20s;
 inline constexpr auto rendezvous_expiry = 60s;
 inline constexpr std::size_t rendezvous_rows_per_domain = 4;
+inline constexpr auto control_tick_interval = 100ms;
+// A platform request without an answer for this long is given up; the HTTP client's own timeout is shorter.
+inline constexpr auto platform_request_timeout = 5000ms;
+inline constexpr auto submit_deadline = 20s;
+// A holder stops this long before its lease ends and a successor waits this long after it, so that clocks may
+// differ by twice as much.
+inline constexpr auto lease_clock_margin = 1000ms;
+// Tombstones of dead members outlive every message about them that is still in transit.
+inline constexpr auto dead_retention = 600s;
+inline constexpr std::size_t max_members = 8192;
+inline constexpr std::size_t max_endpoints_per_member = 64;
+inline constexpr std::size_t digest_buckets = 64;
+inline constexpr std::size_t max_records = 8192;
+inline constexpr std::size_t max_record_key_bytes = 512;
+inline constexpr std::size_t max_record_payload_bytes = 16UL * 1024;
+inline constexpr std::size_t max_config_bytes = 32UL * 1024 * 1024;
+// Versions kept to serve deltas from; a peer further behind gets the whole snapshot.
+inline constexpr std::size_t config_history = 4;
+// Write ids kept in the head row; idempotency keys older than this many accepted changes are forgotten.
+inline constexpr std::size_t head_recent_writes = 128;
 
 // Calls.
 inline constexpr std::size_t max_body_bytes = 64UL * 1024 * 1024;
@@ -51,6 +83,22 @@
 inline constexpr double max_ejected_ratio = 0.5;
 inline constexpr double connection_reserve_ratio = 0.9;
 
+// Administration API.
+// Each connection may hold a questionnaire of 4 MiB before its token is checked.
+inline constexpr std::uint32_t max_admin_connections = 32;
+inline constexpr auto admin_idle_timeout = 30s;
+// Longest wait for requests in flight when the administration server stops.
+inline constexpr auto admin_stop_timeout = 10s;
+inline constexpr std::size_t max_admin_body_bytes = 16UL * 1024;
+inline constexpr std::size_t max_idempotency_key_length = 128;
+inline constexpr std::size_t default_history_entries = 50;
+inline constexpr std::size_t max_history_entries = 1000;
+
+// Platform client.
+// Handles kept for reuse by each store; a burst above this opens extra handles and closes them afterwards.
+inline constexpr std::size_t max_idle_platform_handles = 16;
+inline constexpr std::size_t max_platform_answer_bytes = 64UL * 1024 * 1024;
+
 // Moves.
 inline constexpr double canary_share = 0.01;
 inline constexpr double canary_share_non_idempotent = 0.005;
