--- a/src/daemon/control_loop.cpp
+++ b/src/daemon/control_loop.cpp
@@ -123,6 +123,17 @@
     moves_.on_tick(dependencies_.observations.take(), now, wall);
     handle_pending();
     track_convergence();
+    publish_counters();
+}
+
+void control_loop::publish_counters() {
+    const auto links = transport_->stats();
+    dependencies_.counters.at("peer_bytes_in").store(links.bytes_in);
+    dependencies_.counters.at("peer_bytes_out").store(links.bytes_out);
+    dependencies_.counters.at("peer_messages_dropped").store(links.dropped_messages);
+    dependencies_.counters.at("peer_malformed_frames").store(links.malformed_frames);
+    dependencies_.counters.at("control_cpu_us")
+        .store(static_cast<std::uint64_t>(control_cpu_ns_.load() / 1000));
 }
 
 void control_loop::post_event(distribution::event input) {
@@ -139,12 +150,21 @@
         for (auto& action : node_.handle(dependencies_.clock.now(), std::move(input))) {
             execute(action);
         }
+        renew_incarnation();
     }
     if (view_stale_) {
         publish_view();
     }
 }
 
+/// A pause or a refutation gives the node a new incarnation; later hellos must carry it.
+void control_loop::renew_incarnation() {
+    if (node_.incarnation() != incarnation_) {
+        incarnation_ = node_.incarnation();
+        transport_->set_incarnation(incarnation_);
+    }
+}
+
 void control_loop::execute(distribution::action& action) {
     const auto now = dependencies_.clock.now();
     const auto wall = dependencies_.clock.wall_now();
@@ -182,7 +202,6 @@
         log_event(log_level::warning, "fenced", {{"reason", paused ? "paused" : "newer_epoch"}});
         dependencies_.counters.add(paused ? "fenced_paused" : "fenced_newer_epoch");
         if (paused) {
-            transport_->set_incarnation(node_.incarnation());
             dependencies_.views.on_paused();
         }
     } else {
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -81,8 +81,6 @@
     [[nodiscard]] std::shared_ptr<const model::routing_table> active() const;
     [[nodiscard]] const latency_histogram& convergence_times() const { return convergence_times_; }
     [[nodiscard]] peers::transport_stats transport_stats() const;
-    /// Processor time that the control and I/O threads used so far.
-    [[nodiscard]] duration control_cpu_time() const { return duration{control_cpu_ns_.load()}; }
 
 private:
     // transport_listener, on the I/O thread
@@ -103,12 +101,15 @@
     void post_event(distribution::event input);
     void queue_event(distribution::event input) { pending_.push_back(std::move(input)); }
     void handle_pending();
+    void renew_incarnation();
     void execute(distribution::action& action);
     void execute_platform(const distribution::action& action);
     void run_platform(std::uint64_t request_id, std::function<void(distribution::platform_result&)> work);
     void finish_submit(const distribution::submit_finished& result);
     void apply(const distribution::apply_snapshot& action);
     void track_convergence();
+    /// Copies byte counts and processor time into the counters that the metrics show.
+    void publish_counters();
     void publish_view();
     [[nodiscard]] control_status collect_status();
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -39,7 +39,7 @@
     control_.start();
     admin_server_ = std::make_unique<operators::admin_server>(
         admin_settings(), admin_, counters_,
-        std::vector<operators::named_histogram>{{"convergence_seconds", &control_.convergence_times()}});
+        std::vector<operators::named_histogram>{{"convergence", &control_.convergence_times()}});
     log_event(log_level::info, "started",
               {{"member", settings_.advertised_peer_address},
                {"caller_address", settings_.caller_address},
