--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -54,6 +54,8 @@
         text[13] != ':' || text[16] != ':') {
         return std::nullopt;
     }
+    // Nanoseconds since 1970 in 64 bits end in April 2262.
+    constexpr int last_year = 2261;
     const int year = digits(text, 0, 4);
     const int month = digits(text, 5, 2);
     const int day = digits(text, 8, 2);
@@ -62,8 +64,8 @@
     const int second = digits(text, 17, 2);
     const chr::year_month_day date{chr::year{year}, chr::month{static_cast<unsigned>(month)},
                                    chr::day{static_cast<unsigned>(day)}};
-    if (year < 0 || month < 0 || day < 0 || !date.ok() || hour < 0 || hour > 23 || minute < 0 ||
-        minute > 59 || second < 0 || second > 59) {
+    if (year < 1970 || year > last_year || month < 0 || day < 0 || !date.ok() || hour < 0 || hour > 23 ||
+        minute < 0 || minute > 59 || second < 0 || second > 59) {
         return std::nullopt;
     }
     std::size_t at = 19;
