Give non-idempotent routes their own shares on the request path

Cause: the request path read only the shares of idempotent routes, so deposits and instalments got the 1% canary share. Change: the service runtime keeps both lists and chooses by the route; evidence in move reports tells slow from failed. Measured: the new test fails before the change (payments go to version 2) and passes after it.

--- a/src/callers/call_runner.cpp
+++ b/src/callers/call_runner.cpp
@@ -144,9 +144,9 @@
         return nullptr;
     }
     hedged_ = true;
-    auto place = context_.service->reserve_another(primary.place.version, tried_, false);
+    auto place = context_.service->reserve_another(primary.place.version, tried_, context_.idempotent);
     if (!place) {
-        place = context_.service->reserve_another(primary.place.version, {}, false);
+        place = context_.service->reserve_another(primary.place.version, {}, context_.idempotent);
     }
     if (!place) {
         return nullptr;
@@ -267,10 +267,10 @@
         environment_.counters.add("calls.refused_retry_budget");
         return nullptr;
     }
-    auto place = context_.service->reserve_another(failed.place.version, tried_, false);
+    auto place = context_.service->reserve_another(failed.place.version, tried_, context_.idempotent);
     const bool shed = end.verdict.outcome == model::call_outcome::shed;
     if (!place && !shed) {
-        place = context_.service->reserve_another(failed.place.version, {}, false);
+        place = context_.service->reserve_another(failed.place.version, {}, context_.idempotent);
     }
     if (!place) {
         return nullptr;
--- a/src/callers/proxy_server.cpp
+++ b/src/callers/proxy_server.cpp
@@ -3,6 +3,8 @@
 #include "callers/http_listener.h"
 #include "callers/operation_log.h"
 
+#include <algorithm>
+
 namespace endive::callers {
 namespace {
 
@@ -27,14 +29,12 @@
     return seed != 0 ? seed : static_cast<std::uint64_t>(clock.wall_now().time_since_epoch().count());
 }
 
-[[nodiscard]] std::vector<model::version_share> shares_of(const request_view& view,
-                                                          const model::service& service) {
-    for (const auto& split : view.splits) {
-        if (split.service == service.name) {
-            return split.shares;
-        }
+[[nodiscard]] model::traffic_split split_of(const request_view& view, const model::service& service) {
+    const auto found = std::ranges::find(view.splits, service.name, &model::traffic_split::service);
+    if (found != view.splits.end()) {
+        return *found;
     }
-    return {{service.stable_version, 1.0}};
+    return {service.name, {{service.stable_version, 1.0}}, {}};
 }
 
 [[nodiscard]] calls::call_headers read_call_headers(const caller_request& request) {
@@ -92,7 +92,9 @@
         for (const auto& service : view->routes->services()) {
             auto& part = services[service.name];
             part.sequence = view_sequence;
-            part.shares = shares_of(*view, service);
+            auto split = split_of(*view, service);
+            part.shares = std::move(split.shares);
+            part.non_idempotent_shares = std::move(split.non_idempotent_shares);
             part.live_daemons = view->live_daemons;
         }
         for (const auto& endpoint : view->endpoints) {
--- a/src/callers/service_runtime.cpp
+++ b/src/callers/service_runtime.cpp
@@ -8,8 +8,17 @@
 // A call that waits checks at least this often whether it has become too old.
 constexpr milliseconds queue_check_interval{20};
 
+bool has_share(const std::vector<model::version_share>& shares, const std::string& version) {
+    return std::any_of(shares.begin(), shares.end(),
+                       [&](const auto& entry) { return entry.version == version && entry.share > 0; });
+}
+
 } // namespace
 
+const std::vector<model::version_share>& service_runtime::shares_for(bool idempotent) const {
+    return idempotent ? shares_ : non_idempotent_shares_;
+}
+
 std::uint64_t service_runtime::next_random() {
     random_ += 0x9e3779b97f4a7c15ULL;
     std::uint64_t z = random_;
@@ -41,6 +50,7 @@
     }
     sequence_ = view.sequence;
     shares_ = view.shares;
+    non_idempotent_shares_ = view.non_idempotent_shares.empty() ? view.shares : view.non_idempotent_shares;
     for (const auto& [version, endpoints] : view.endpoints) {
         auto& pool = pools_[version];
         if (!pool) {
@@ -54,10 +64,7 @@
         const std::span<const model::endpoint_info> endpoints =
             found == view.endpoints.end() ? std::span<const model::endpoint_info>{} : found->second;
         pool->group.update(endpoints, view.live_daemons, now);
-        const bool gets_traffic = std::any_of(shares_.begin(), shares_.end(), [&](const auto& s) {
-            return s.version == version && s.share > 0;
-        });
-        if (gets_traffic) {
+        if (has_share(shares_, version) || has_share(non_idempotent_shares_, version)) {
             start_waiting(version, *pool, now);
             continue;
         }
@@ -109,7 +116,7 @@
     std::unique_lock lock{mutex_};
     while (true) {
         const auto now = clock_.now();
-        const std::string version{calls::choose_version(shares_, next_random())};
+        const std::string version{calls::choose_version(shares_for(request.idempotent), next_random())};
         const auto found = pools_.find(version);
         if (version.empty() || found == pools_.end()) {
             return {std::nullopt, result_code::call_no_endpoint};
@@ -126,7 +133,7 @@
         case calls::admission_verdict::refused:
             return {std::nullopt, actions.front().code};
         case calls::admission_verdict::start: {
-            const auto handle = pool.group.choose(next_random(), {}, now, request.may_probe);
+            const auto handle = pool.group.choose(next_random(), {}, now, request.idempotent);
             if (!handle.valid()) {
                 return {std::nullopt, result_code::call_overloaded};
             }
@@ -146,18 +153,18 @@
 
 std::optional<reservation> service_runtime::reserve_another(const std::string& version,
                                                             std::span<const std::string> excluded,
-                                                            bool may_probe) {
+                                                            bool idempotent) {
     const auto now = clock_.now();
     const std::scoped_lock lock{mutex_};
     // A hold that arrived since the first attempt applies to the next one too.
-    const bool gets_traffic = std::any_of(shares_.begin(), shares_.end(),
-                                          [&](const auto& s) { return s.version == version && s.share > 0; });
-    const auto wanted = gets_traffic ? version : std::string{calls::choose_version(shares_, next_random())};
+    const auto& shares = shares_for(idempotent);
+    const auto wanted =
+        has_share(shares, version) ? version : std::string{calls::choose_version(shares, next_random())};
     const auto found = pools_.find(wanted);
     if (found == pools_.end()) {
         return std::nullopt;
     }
-    const auto handle = found->second->group.choose(next_random(), excluded, now, may_probe);
+    const auto handle = found->second->group.choose(next_random(), excluded, now, false);
     if (!handle.valid()) {
         return std::nullopt;
     }
--- a/src/callers/service_runtime.h
+++ b/src/callers/service_runtime.h
@@ -9,8 +9,9 @@
 
 /// What the active view says of one service.
 struct service_view {
-    std::uint64_t sequence = 0; ///< of the view; a later one replaces an earlier one
-    std::vector<model::version_share> shares;
+    std::uint64_t sequence = 0;               ///< of the view; a later one replaces an earlier one
+    std::vector<model::version_share> shares; ///< idempotent routes
+    std::vector<model::version_share> non_idempotent_shares;            ///< empty: as `shares`
     std::map<std::string, std::vector<model::endpoint_info>> endpoints; ///< by version
     std::uint32_t live_daemons = 1;
 };
@@ -18,7 +19,8 @@
 struct reservation_request {
     std::uint32_t priority = 1;
     time_point deadline;
-    bool may_probe = true;
+    /// Selects the shares; only idempotent calls may probe an ejected endpoint.
+    bool idempotent = true;
 };
 
 /// A place at an endpoint.
@@ -50,7 +52,7 @@
     [[nodiscard]] reservation_result reserve(const reservation_request& request);
     /// For a retry or a hedge of a call that holds or held a place: never waits.
     [[nodiscard]] std::optional<reservation>
-    reserve_another(const std::string& version, std::span<const std::string> excluded, bool may_probe);
+    reserve_another(const std::string& version, std::span<const std::string> excluded, bool idempotent);
     void finish(const reservation& place, const calls::attempt_report& report);
     void abandon(const reservation& place);
 
@@ -93,7 +95,9 @@
     std::uint64_t random_;
     std::uint64_t sequence_ = 0;
     std::uint64_t next_ticket_ = 1;
+    [[nodiscard]] const std::vector<model::version_share>& shares_for(bool idempotent) const;
     std::vector<model::version_share> shares_;
+    std::vector<model::version_share> non_idempotent_shares_;
     std::map<std::string, std::unique_ptr<version_pool>> pools_;
     std::map<std::uint64_t, waiter*> waiters_;
     calls::retry_budget budget_;
--- a/src/daemon/admin_adapter.cpp
+++ b/src/daemon/admin_adapter.cpp
@@ -25,8 +25,10 @@
     status.changed_unix_ms = row.history.empty() ? row.created_unix_ms : row.history.back().unix_ms;
     status.finished_unix_ms = std::max(row.completed_unix_ms, row.taken_back_unix_ms);
     for (const auto& item : row.evidence) {
-        status.evidence.push_back({item.route, row.to, static_cast<std::uint64_t>(item.new_total),
-                                   static_cast<std::uint64_t>(item.new_bad), 0});
+        const auto bad = static_cast<std::uint64_t>(item.new_bad);
+        const bool slow = item.what == endive::moves::signal::slow;
+        status.evidence.push_back(
+            {item.route, row.to, static_cast<std::uint64_t>(item.new_total), slow ? 0 : bad, slow ? bad : 0});
     }
     return status;
 }
--- a/tests/callers/path_test.cpp
+++ b/tests/callers/path_test.cpp
@@ -54,3 +54,18 @@
     }
     REQUIRE(backend.executions() == 0);
 }
+
+TEST_CASE("non-idempotent routes follow their own shares") {
+    // Guards against payments that get the larger canary share of idempotent routes.
+    scripted_backend old_version{answer_ok};
+    scripted_backend new_version{answer_ok};
+    proxy_fixture proxy{{old_version.address()}};
+    proxy.set_endpoints({make_endpoint(old_version.address()), make_endpoint(new_version.address(), "2")},
+                        {{"2", 1.0}}, {{"1", 1.0}});
+    for (int i = 0; i < 5; ++i) {
+        REQUIRE(call(proxy.server.port(), "GET", "/read").status == 200);
+        REQUIRE(call(proxy.server.port(), "POST", "/pay", "", "x").status == 200);
+    }
+    REQUIRE(new_version.executions() == 5);
+    REQUIRE(old_version.executions() == 5);
+}
