--- a/bench/convergence_bench.py
+++ b/bench/convergence_bench.py
@@ -24,6 +24,8 @@
 REST_SECONDS = 10
 # Links that starting daemons needed only to find each other are closed 10 s later.
 SETTLE_SECONDS = 15
+# The daemons copy their byte counts into the metrics every 100 ms.
+COUNTER_DELAY_SECONDS = 1
 POLL_SECONDS = 2.0
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 TICKS = os.sysconf("SC_CLK_TCK")
@@ -103,6 +105,7 @@
             version = accept(daemons[0], answers_with_timeout(1000 + change), version, f"change-{change}")
             wait_version(daemons, version, 60)
             times += change_times(daemons, version)
+        time.sleep(COUNTER_DELAY_SECONDS)
         reads_before = platform.counts()["reads"]
         cpu_before = [cpu_seconds(d) for d in daemons]
         bytes_before = [control_bytes(d) for d in daemons]
