--- a/include/endive/moves.h
+++ b/include/endive/moves.h
@@ -276,7 +276,7 @@
     /// Uses the rule and thresholds given for all moves in place of the weights'; for benchmarks.
     void override_settings(const decision_settings& settings) { override_ = settings; }
     /// Judges the evidence since the last call (`evidence_collector::take_local`). Call it every 100 ms or
-    /// so. Returns holds to flood; they are in force here already.
+    /// so. Returns holds to flood; they already apply here.
     [[nodiscard]] std::vector<record> on_evidence(const std::vector<paired_evidence>& evidence,
                                                   double seconds, wall_time now);
     /// Applies a hold record of another daemon or of the owner. Returns true when the state changed.
--- a/tests/integration/mesh.py
+++ b/tests/integration/mesh.py
@@ -72,7 +72,7 @@
 
 
 def start_mesh(fleet, count=3, service="bacheca", body=None, **backend_flags):
-    """Platform, daemons with a backend server each, and an accepted configuration in force everywhere."""
+    """Platform, daemons with a backend server each, and an accepted configuration active everywhere."""
     platform = fleet.platform()
     daemons = start_daemons(fleet, platform, count)
     backends = [fleet.backend(service, "v1", announce=daemon.admin_address, **backend_flags)
--- a/tests/integration/test_properties.py
+++ b/tests/integration/test_properties.py
@@ -182,7 +182,7 @@
         wait_version(daemons, second)
 
 
-def test_a_herd_restart_during_a_platform_outage_recovers_once_it_ends():
+def test_a_mass_restart_during_a_platform_outage_recovers_once_it_ends():
     with Fleet() as fleet:
         platform = fleet.platform()
         daemons = start_daemons(fleet, platform, 4)
