Check at compile time that the administration API's enumerations match

Cause: the adapter casts move and operation states between twin enumerations of two libraries; a new state in one of them would have shown operators a wrong state without any error. Change: static_asserts on their last members beside the casts. No behaviour changes.

--- a/src/daemon/admin_adapter.cpp
+++ b/src/daemon/admin_adapter.cpp
@@ -8,6 +8,14 @@
 // Acceptance reads, stores and writes once each, with one retry; the platform's time-out bounds each step.
 constexpr std::chrono::seconds submit_timeout{12};
 
+// The administration API has enumerations of its own; the casts below rely on equal order.
+static_assert(static_cast<int>(operators::move_state::expired) ==
+              static_cast<int>(endive::moves::move_state::expired));
+static_assert(static_cast<int>(operators::move_state::taken_back) ==
+              static_cast<int>(endive::moves::move_state::taken_back));
+static_assert(static_cast<int>(operators::operation_state::not_run) ==
+              static_cast<int>(calls::operation_state::not_run));
+
 operators::move_status to_status(const endive::moves::move_row& row) {
     operators::move_status status;
     status.id = row.id;
