--- a/include/endive/base.h
+++ b/include/endive/base.h
@@ -156,6 +156,32 @@
     std::unique_ptr<state> state_;
 };
 
+// ---- frames
+// ------------------------------------------------------------------------------------------------
+
+/// Bytes of the length in front of each frame, little-endian.
+inline constexpr std::size_t frame_length_bytes = 4;
+
+/// `payload` behind its length prefix. Precondition: its size fits in 32 bits. Thread safe.
+[[nodiscard]] std::string make_frame(std::string_view payload);
+
+/// Cuts a byte stream into frames. Not thread safe.
+class frame_decoder {
+public:
+    explicit frame_decoder(std::size_t max_frame_bytes) : max_frame_bytes_{max_frame_bytes} {}
+    void feed(std::string_view bytes);
+    /// The next complete frame without its length prefix; empty when more bytes are needed. The view is valid
+    /// until the next call of `feed` or `next`. Throws `error` with `peer_frame_too_large` or
+    /// `peer_frame_malformed` (length 0); the decoder is of no use after that.
+    [[nodiscard]] std::optional<std::string_view> next();
+    [[nodiscard]] std::size_t buffered() const { return buffer_.size() - start_; }
+
+private:
+    std::size_t max_frame_bytes_;
+    std::string buffer_;
+    std::size_t start_ = 0;
+};
+
 // ---- hash ------------------------------------------------------------------------------------------------
 
 /// XXH64; equal on every machine and in every release.
--- a/include/endive/peers.h
+++ b/include/endive/peers.h
@@ -60,21 +60,6 @@
 /// Thread safe.
 [[nodiscard]] frame_content decode_frame(std::string_view payload);
 
-/// Cuts a byte stream into frames. Not thread safe.
-class frame_decoder {
-public:
-    void feed(std::string_view bytes);
-    /// The next complete frame without its length prefix; empty when more bytes are needed. The view is valid
-    /// until the next call of `feed` or `next`. Throws `error` with `peer_frame_too_large` or
-    /// `peer_frame_malformed` (length 0); the decoder is of no use after that.
-    [[nodiscard]] std::optional<std::string_view> next();
-    [[nodiscard]] std::size_t buffered() const { return buffer_.size() - start_; }
-
-private:
-    std::string buffer_;
-    std::size_t start_ = 0;
-};
-
 // ---- transport -------------------------------------------------------------------------------------------
 
 /// Receives what happens on links. Called on the I/O thread; implementations return quickly and may call
--- a/src/peers/frame_decoder.cpp
+++ b/src/base/frame_decoder.cpp
@@ -1,15 +1,14 @@
-#include "endive/peers.h"
+#include "endive/base.h"
 
-namespace endive::peers {
+namespace endive {
 namespace {
 
-constexpr std::size_t length_bytes = 4;
 // Moving the rest of the buffer to the front pays off only when much of it was consumed.
 constexpr std::size_t compact_threshold = 64UL * 1024;
 
 std::uint32_t read_length(std::string_view bytes) {
     std::uint32_t length = 0;
-    for (std::size_t index = 0; index < length_bytes; ++index) {
+    for (std::size_t index = 0; index < frame_length_bytes; ++index) {
         length |= static_cast<std::uint32_t>(static_cast<std::uint8_t>(bytes[index])) << (8 * index);
     }
     return length;
@@ -17,6 +16,15 @@
 
 } // namespace
 
+std::string make_frame(std::string_view payload) {
+    std::string bytes;
+    bytes.reserve(frame_length_bytes + payload.size());
+    for (std::size_t index = 0; index < frame_length_bytes; ++index) {
+        bytes.push_back(static_cast<char>(payload.size() >> (8 * index) & 0xffU));
+    }
+    return bytes.append(payload);
+}
+
 void frame_decoder::feed(std::string_view bytes) {
     if (start_ == buffer_.size()) {
         buffer_.clear();
@@ -30,22 +38,22 @@
 
 std::optional<std::string_view> frame_decoder::next() {
     const auto rest = std::string_view{buffer_}.substr(start_);
-    if (rest.size() < length_bytes) {
+    if (rest.size() < frame_length_bytes) {
         return {};
     }
     const auto length = read_length(rest);
     if (length == 0) {
         throw error{result_code::peer_frame_malformed, "a frame is empty"};
     }
-    if (length > config::max_frame_bytes) {
+    if (length > max_frame_bytes_) {
         throw error{result_code::peer_frame_too_large,
                     "a frame announces " + std::to_string(length) + " bytes"};
     }
-    if (rest.size() - length_bytes < length) {
+    if (rest.size() - frame_length_bytes < length) {
         return {};
     }
-    start_ += length_bytes + length;
-    return rest.substr(length_bytes, length);
+    start_ += frame_length_bytes + length;
+    return rest.substr(frame_length_bytes, length);
 }
 
-} // namespace endive::peers
+} // namespace endive
--- /dev/null
+++ b/src/mesh/gate.cpp
@@ -0,0 +1,216 @@
+#include "endive/mesh.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace endive::mesh {
+namespace {
+
+/// Weight of the newest response in the averages: about the last 20 responses count.
+constexpr double average_weight = 0.05;
+/// Service time before the first response.
+constexpr duration initial_service_time = milliseconds{100};
+constexpr double initial_slowness = 0.35;
+/// A request starts only if this share of its expected run fits before its deadline: runs vary, and some
+/// finish well below the average.
+constexpr double hopeful_share = 0.6;
+/// Waiting requests of one endpoint; beyond it memory grows and no one is served.
+constexpr std::size_t max_waiting = 1024;
+/// Least time to come back in: sooner, nothing will have changed.
+constexpr duration min_retry_after = milliseconds{40};
+
+duration scaled(duration value, double factor) {
+    return duration{static_cast<duration::rep>(static_cast<double>(value.count()) * factor)};
+}
+
+} // namespace
+
+duration endpoint_gate::typical_time() const {
+    return service_time_ > duration{0} ? service_time_ : initial_service_time;
+}
+
+duration endpoint_gate::expected_run(duration latency_target) const {
+    return scaled(latency_target, slowness_ > 0 ? slowness_ : initial_slowness);
+}
+
+duration endpoint_gate::wait_at(std::size_t position) const {
+    if (running_.size() < slots_) {
+        return duration{0};
+    }
+    return typical_time() * static_cast<duration::rep>(position + 1) / std::max(1U, slots_);
+}
+
+bool endpoint_gate::goes_before(const gate_request& a, const gate_request& b, time_point now) const {
+    const bool late_a = now + expected_run(a.latency_target) > a.target;
+    const bool late_b = now + expected_run(b.latency_target) > b.target;
+    return std::tie(a.priority, late_a, a.target, a.ticket) <
+           std::tie(b.priority, late_b, b.target, b.ticket);
+}
+
+std::vector<gate_action> endpoint_gate::set_ready(bool ready, time_point now) {
+    std::vector<gate_action> out;
+    ready_ = ready;
+    if (ready) {
+        start_waiting(out, now);
+        return out;
+    }
+    for (const auto& waiting : queue_) {
+        out.push_back({waiting.ticket, gate_verdict::refused, duration{0}});
+    }
+    queue_.clear();
+    return out;
+}
+
+std::vector<gate_action> endpoint_gate::offer(const gate_request& request, time_point now) {
+    std::vector<gate_action> out;
+    if (!ready_ || queue_.size() >= max_waiting || request.deadline <= now) {
+        out.push_back(
+            {request.ticket, gate_verdict::refused, std::max(min_retry_after, wait_at(queue_.size()))});
+        return out;
+    }
+    if (running_.size() < slots_ && queue_.empty()) {
+        running_[request.ticket] = request.latency_target;
+        out.push_back({request.ticket, gate_verdict::start, duration{0}});
+        return out;
+    }
+    queue_.push_back(request);
+    start_waiting(out, now);
+    refuse_hopeless(out, now);
+    const bool decided = std::any_of(
+        out.begin(), out.end(), [&](const gate_action& action) { return action.ticket == request.ticket; });
+    if (!decided) {
+        out.push_back({request.ticket, gate_verdict::queued, duration{0}});
+    }
+    return out;
+}
+
+std::vector<gate_action> endpoint_gate::finish(std::uint64_t ticket, std::optional<duration> service_time,
+                                               time_point now) {
+    std::vector<gate_action> out;
+    const auto found = running_.find(ticket);
+    if (found == running_.end()) {
+        return out;
+    }
+    if (service_time) {
+        const double ratio = found->second > duration{0} ? static_cast<double>(service_time->count()) /
+                                                               static_cast<double>(found->second.count())
+                                                         : initial_slowness;
+        if (service_time_ == duration{0}) {
+            service_time_ = *service_time;
+            slowness_ = ratio;
+        }
+        service_time_ += scaled(*service_time - service_time_, average_weight);
+        slowness_ += (ratio - slowness_) * average_weight;
+    }
+    running_.erase(found);
+    start_waiting(out, now);
+    return out;
+}
+
+bool endpoint_gate::remove(std::uint64_t ticket) {
+    return std::erase_if(queue_, [&](const gate_request& waiting) { return waiting.ticket == ticket; }) > 0;
+}
+
+std::vector<gate_action> endpoint_gate::advance(time_point now) {
+    std::vector<gate_action> out;
+    start_waiting(out, now);
+    refuse_hopeless(out, now);
+    return out;
+}
+
+void endpoint_gate::start_waiting(std::vector<gate_action>& out, time_point now) {
+    while (ready_ && running_.size() < slots_ && !queue_.empty()) {
+        const auto next =
+            std::min_element(queue_.begin(), queue_.end(), [&](const gate_request& a, const gate_request& b) {
+                return goes_before(a, b, now);
+            });
+        const auto request = *next;
+        queue_.erase(next);
+        if (now + scaled(expected_run(request.latency_target), hopeful_share) > request.deadline) {
+            out.push_back(
+                {request.ticket, gate_verdict::refused, std::max(min_retry_after, wait_at(queue_.size()))});
+            continue;
+        }
+        running_[request.ticket] = request.latency_target;
+        out.push_back({request.ticket, gate_verdict::start, duration{0}});
+    }
+}
+
+void endpoint_gate::refuse_hopeless(std::vector<gate_action>& out, time_point now) {
+    if (queue_.empty()) {
+        return;
+    }
+    std::vector<gate_request> order = queue_;
+    std::sort(order.begin(), order.end(),
+              [&](const gate_request& a, const gate_request& b) { return goes_before(a, b, now); });
+    const auto whole_wait = std::max(min_retry_after, wait_at(order.size()));
+    std::size_t position = 0;
+    for (const auto& waiting : order) {
+        const auto start = now + wait_at(position);
+        if (start + scaled(expected_run(waiting.latency_target), hopeful_share) > waiting.deadline) {
+            remove(waiting.ticket);
+            out.push_back({waiting.ticket, gate_verdict::refused, whole_wait});
+        } else {
+            ++position;
+        }
+    }
+}
+
+endpoint_load endpoint_gate::load() const {
+    return {static_cast<std::uint32_t>(running_.size() + queue_.size()), slots_, service_time_, slowness_,
+            ready_};
+}
+
+bool retry_share::take() {
+    if (tokens_ < 1.0) {
+        return false;
+    }
+    tokens_ -= 1.0;
+    return true;
+}
+
+void retry_share::on_request() {
+    tokens_ = std::min(tokens_ + ratio_, burst_);
+}
+
+std::string_view to_string(reason value) {
+    switch (value) {
+    case reason::none:
+        return "none";
+    case reason::no_configuration:
+        return "no_configuration";
+    case reason::no_route:
+        return "no_route";
+    case reason::no_endpoint:
+        return "no_endpoint";
+    case reason::no_room:
+        return "no_room";
+    case reason::too_late:
+        return "too_late";
+    case reason::draining:
+        return "draining";
+    case reason::wrong_endpoint:
+        return "wrong_endpoint";
+    case reason::endpoint_refused:
+        return "endpoint_refused";
+    case reason::connect_failed:
+        return "connect_failed";
+    case reason::connection_lost:
+        return "connection_lost";
+    case reason::bad_response:
+        return "bad_response";
+    case reason::timed_out:
+        return "timed_out";
+    case reason::peer_lost:
+        return "peer_lost";
+    case reason::caller_left:
+        return "caller_left";
+    case reason::bad_request:
+        return "bad_request";
+    case reason::memory:
+        return "memory";
+    }
+    return "none";
+}
+
+} // namespace endive::mesh
--- /dev/null
+++ b/src/mesh/membership.cpp
@@ -0,0 +1,180 @@
+#include "endive/mesh.h"
+
+#include <tuple>
+
+namespace endive::mesh {
+namespace {
+
+constexpr std::string_view text_of(endpoint_state state) {
+    switch (state) {
+    case endpoint_state::ready:
+        return "ready";
+    case endpoint_state::draining:
+        return "draining";
+    case endpoint_state::absent:
+        break;
+    }
+    return "absent";
+}
+
+endpoint_state parse_state(const std::string& text) {
+    if (text == "ready") {
+        return endpoint_state::ready;
+    }
+    return text == "draining" ? endpoint_state::draining : endpoint_state::absent;
+}
+
+} // namespace
+
+endpoint_tracker::endpoint_tracker(std::string service, std::string address) {
+    current_.service = std::move(service);
+    current_.address = std::move(address);
+    current_.state = endpoint_state::absent;
+}
+
+void endpoint_tracker::set_state(endpoint_state state) {
+    if (current_.state != state) {
+        current_.state = state;
+        ++revision_;
+    }
+}
+
+bool endpoint_tracker::on_heartbeat(const heartbeat& beat, time_point now) {
+    const bool other_place = beat.service != current_.service || beat.address != current_.address;
+    if (other_place || beat.born_unix_ms < current_.born_unix_ms) {
+        return false;
+    }
+    const bool same_start =
+        beat.endpoint_id == current_.endpoint_id && beat.born_unix_ms == current_.born_unix_ms;
+    if (same_start && beat.sequence <= current_.sequence) {
+        return false;
+    }
+    const auto gone = departed_.find(beat.endpoint_id);
+    const bool has_left = gone != departed_.end() && beat.born_unix_ms <= gone->second;
+    const bool changed = beat.endpoint_id != current_.endpoint_id || beat.version != current_.version ||
+                         beat.slots != current_.slots || beat.born_unix_ms != current_.born_unix_ms;
+    const auto state_before = current_.state;
+    current_ = beat;
+    current_.state = state_before;
+    last_heard_ = now;
+    if (changed) {
+        ++revision_;
+    }
+    set_state(has_left ? endpoint_state::draining : beat.state);
+    if (beat.state == endpoint_state::draining) {
+        departed_[beat.endpoint_id] = beat.born_unix_ms;
+    }
+    return true;
+}
+
+bool endpoint_tracker::on_deregister(std::string_view endpoint_id) {
+    const bool current = endpoint_id == current_.endpoint_id;
+    departed_[std::string{endpoint_id}] = current ? current_.born_unix_ms : 0;
+    if (current) {
+        set_state(endpoint_state::draining);
+    }
+    return current;
+}
+
+void endpoint_tracker::on_health(std::string_view endpoint_id, bool healthy, std::uint32_t slots) {
+    if (endpoint_id.empty() || current_.state != endpoint_state::absent) {
+        return;
+    }
+    if (current_.endpoint_id != endpoint_id) {
+        if (!current_.endpoint_id.empty() && current_.sequence > 0) {
+            return; // a heartbeat will tell of the new start
+        }
+        current_.endpoint_id = std::string{endpoint_id};
+        current_.slots = slots;
+        ++revision_;
+    }
+    if (!departed_.contains(endpoint_id)) {
+        set_state(healthy ? endpoint_state::ready : endpoint_state::draining);
+    }
+}
+
+void endpoint_tracker::on_remembered_departure(std::string_view endpoint_id) {
+    departed_.try_emplace(std::string{endpoint_id},
+                          current_.endpoint_id == endpoint_id ? current_.born_unix_ms : 0);
+    if (current_.endpoint_id == endpoint_id) {
+        set_state(endpoint_state::draining);
+    }
+}
+
+void endpoint_tracker::on_unreachable() {
+    set_state(endpoint_state::absent);
+}
+
+bool endpoint_tracker::expire(time_point now, duration heartbeat_patience) {
+    const bool heard = last_heard_ != time_point{};
+    if (!heard || current_.state == endpoint_state::absent || now - last_heard_ <= heartbeat_patience) {
+        return false;
+    }
+    set_state(endpoint_state::absent);
+    return true;
+}
+
+std::string encode(const member& value) {
+    return json{{"daemon", value.daemon},         {"start", value.daemon_start_unix_ms},
+                {"revision", value.revision},     {"address", value.address},
+                {"domain", value.failure_domain}, {"service", value.service},
+                {"endpoint", value.endpoint_id},  {"version", value.version},
+                {"slots", value.slots},           {"state", text_of(value.state)},
+                {"born", value.born_unix_ms},     {"stopping", value.stopping}}
+        .dump();
+}
+
+member decode_member(std::string_view text) {
+    try {
+        const auto object = json::parse(text);
+        member result;
+        object.at("daemon").get_to(result.daemon);
+        object.at("start").get_to(result.daemon_start_unix_ms);
+        object.at("revision").get_to(result.revision);
+        object.at("address").get_to(result.address);
+        object.at("domain").get_to(result.failure_domain);
+        object.at("service").get_to(result.service);
+        object.at("endpoint").get_to(result.endpoint_id);
+        object.at("version").get_to(result.version);
+        object.at("slots").get_to(result.slots);
+        result.state = parse_state(object.at("state").get<std::string>());
+        object.at("born").get_to(result.born_unix_ms);
+        object.at("stopping").get_to(result.stopping);
+        return result;
+    } catch (const json::exception& cause) {
+        throw error{result_code::platform_bad_answer, std::string{"member: "} + cause.what()};
+    }
+}
+
+bool supersedes(const member& candidate, const member& known) {
+    return std::tie(candidate.daemon_start_unix_ms, candidate.revision) >
+           std::tie(known.daemon_start_unix_ms, known.revision);
+}
+
+bool row_replica::apply(const store_row& row) {
+    const auto [found, is_new] = rows_.try_emplace({row.table, row.key}, row);
+    if (is_new) {
+        return true;
+    }
+    if (row.version <= found->second.version) {
+        return false;
+    }
+    found->second = row;
+    return true;
+}
+
+const store_row* row_replica::find(std::string_view table, std::string_view key) const {
+    const auto found = rows_.find({std::string{table}, std::string{key}});
+    return found == rows_.end() ? nullptr : &found->second;
+}
+
+std::vector<store_row> row_replica::all() const {
+    std::vector<store_row> result;
+    result.reserve(rows_.size());
+    for (const auto& [key, row] : rows_) {
+        result.push_back(row);
+    }
+    return result;
+}
+
+} // namespace endive::mesh
--- /dev/null
+++ b/src/mesh/rollout.cpp
@@ -0,0 +1,163 @@
+#include "endive/mesh.h"
+
+#include <algorithm>
+
+namespace endive::mesh {
+namespace {
+
+/// Steps of a move: share of the traffic from this part of the allowed time on, once the new version has
+/// given so many answers. The last step leaves a quarter of the time to complete.
+struct step {
+    double from;
+    double share;
+    double answers;
+};
+constexpr std::array steps{step{0.0, 0.05, 0}, step{0.45, 0.25, 20}, step{0.6, 1.0, 50}};
+/// From this part of the time on, fewer answers have to do: a service with little traffic moves too.
+constexpr double hurry_from = 0.72;
+constexpr double hurry_answers = 8;
+/// Failures that a verdict needs at least: a fault of the environment may cause one or two.
+constexpr double min_failures = 4;
+/// A new version is bad when its failure rate exceeds the old one's by this factor and addition.
+constexpr double failure_factor = 3.0;
+constexpr double failure_addition = 0.08;
+/// A new version is bad when its mean latency exceeds the old one's by this factor: endpoints of one
+/// service differ in speed by up to 2.4, so a single new endpoint may well be 1.6 times slower than the mean.
+constexpr double slow_factor = 2.5;
+constexpr double min_slow_answers = 15;
+constexpr std::string_view all_routes = "*";
+/// Requests that went to the old version before the last step end within this time.
+constexpr duration full_time_before_completion = milliseconds{1500};
+
+} // namespace
+
+rollout::rollout(rollout_order order, rollout_settings settings, time_point started)
+    : order_{std::move(order)}, settings_{settings}, started_{started} {}
+
+void rollout::totals::add(const version_evidence& last, const version_evidence* first) {
+    const auto since = [&](std::uint64_t version_evidence::*counter) {
+        const auto before = first == nullptr ? 0 : first->*counter;
+        return static_cast<double>(last.*counter >= before ? last.*counter - before : last.*counter);
+    };
+    answered += since(&version_evidence::answered);
+    failed += since(&version_evidence::failed);
+    latency_us += since(&version_evidence::latency_us);
+}
+
+void rollout::on_evidence(const std::string& daemon, std::int64_t daemon_start,
+                          std::span<const version_evidence> counters) {
+    auto& entry = sources_[daemon];
+    const bool restarted = entry.daemon_start != daemon_start;
+    if (restarted) {
+        entry = {};
+        entry.daemon_start = daemon_start;
+    }
+    for (const auto& counter : counters) {
+        if (counter.service != order_.service) {
+            continue;
+        }
+        const std::pair key{counter.version, counter.route};
+        // The old version is judged by what it did since the move began.
+        if (counter.version != order_.to) {
+            entry.first.try_emplace(key, counter);
+        }
+        entry.last[key] = counter;
+    }
+}
+
+void rollout::on_status(const rollout_status& status) {
+    if (status.service != order_.service || status.to != order_.to) {
+        return;
+    }
+    if (status.state != rollout_state::running) {
+        final_ = status.state;
+    }
+    if (status.state == rollout_state::rolled_back) {
+        share_ = 0;
+        bad_ = true;
+    }
+    if (status.state == rollout_state::completed) {
+        share_ = 1;
+    }
+}
+
+rollout::route_totals rollout::collect() const {
+    route_totals result;
+    for (const auto& [daemon, entry] : sources_) {
+        for (const auto& [key, last] : entry.last) {
+            const bool is_new = key.first == order_.to;
+            const auto first = entry.first.find(key);
+            const auto* base = is_new || first == entry.first.end() ? nullptr : &first->second;
+            result[key.second][is_new ? 1 : 0].add(last, base);
+            result[std::string{all_routes}][is_new ? 1 : 0].add(last, base);
+        }
+    }
+    return result;
+}
+
+void rollout::judge_route(std::string_view route, const totals& old_version, const totals& new_version) {
+    const double new_count = new_version.answered + new_version.failed;
+    const double old_count = old_version.answered + old_version.failed;
+    if (new_version.failed >= min_failures) {
+        const double old_rate = old_count > 0 ? old_version.failed / old_count : 0;
+        if (new_version.failed / new_count > old_rate * failure_factor + failure_addition) {
+            bad_ = true;
+            verdict_reason_ = "failures on route " + std::string{route};
+        }
+    }
+    if (new_version.answered >= min_slow_answers && old_version.answered >= min_slow_answers &&
+        route != all_routes) {
+        const double new_mean = new_version.latency_us / new_version.answered;
+        const double old_mean = old_version.latency_us / old_version.answered;
+        if (new_mean > old_mean * slow_factor) {
+            bad_ = true;
+            verdict_reason_ = "slow on route " + std::string{route};
+        }
+    }
+}
+
+void rollout::judge() {
+    for (const auto& [route, versions] : collect()) {
+        if (!bad_) {
+            judge_route(route, versions[0], versions[1]);
+        }
+    }
+}
+
+void rollout::advance(time_point now) {
+    if (final_) {
+        return;
+    }
+    if (!bad_) {
+        judge();
+    }
+    if (bad_) {
+        share_ = 0;
+        return;
+    }
+    const double elapsed = std::chrono::duration<double>(now - started_).count();
+    const double allowed = std::max(0.001, std::chrono::duration<double>(order_.time_allowed).count());
+    const double part = elapsed / allowed;
+    const auto evidence = collect();
+    const auto pooled = evidence.find(all_routes);
+    const double answers =
+        pooled == evidence.end() ? 0 : pooled->second[1].answered + pooled->second[1].failed;
+    double share = 0;
+    for (const auto& candidate_step : steps) {
+        const double wanted =
+            part >= hurry_from ? std::min(candidate_step.answers, hurry_answers) : candidate_step.answers;
+        if (part >= candidate_step.from && answers >= wanted) {
+            share = candidate_step.share;
+        }
+    }
+    share_ = std::max(share, share_ >= 1.0 ? share_ : 0.0);
+    if (share_ >= 1.0 && !full_since_) {
+        full_since_ = now;
+    }
+}
+
+bool rollout::may_complete(time_point now) const {
+    return !bad_ && !final_ && full_since_ && now - *full_since_ >= full_time_before_completion;
+}
+
+} // namespace endive::mesh
--- a/src/peers/encode.cpp
+++ b/src/peers/encode.cpp
@@ -10,8 +10,6 @@
 using builder = flatbuffers::FlatBufferBuilder;
 using content_offset = std::pair<wire::Content, flatbuffers::Offset<void>>;
 
-constexpr std::size_t length_bytes = 4;
-
 flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> bytes_of(builder& out, const std::string& bytes) {
     return out.CreateVector(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
 }
@@ -176,17 +174,6 @@
     return std::visit([&](const auto& alternative) { return encode(out, alternative); }, value);
 }
 
-std::string with_length(const builder& out) {
-    const auto size = static_cast<std::uint32_t>(out.GetSize());
-    std::string bytes;
-    bytes.reserve(length_bytes + size);
-    for (std::size_t index = 0; index < length_bytes; ++index) {
-        bytes.push_back(static_cast<char>((size >> (8 * index)) & 0xffU));
-    }
-    bytes.append(reinterpret_cast<const char*>(out.GetBufferPointer()), size);
-    return bytes;
-}
-
 } // namespace
 
 std::string encode_frame(const frame_content& content) {
@@ -198,7 +185,7 @@
                                                            " bytes is over the limit of " +
                                                            std::to_string(config::max_frame_bytes)};
     }
-    return with_length(out);
+    return make_frame({reinterpret_cast<const char*>(out.GetBufferPointer()), out.GetSize()});
 }
 
 } // namespace endive::peers
--- a/src/peers/peer_link.h
+++ b/src/peers/peer_link.h
@@ -45,7 +45,7 @@
     time_point up_at;
     distribution::member_id member; ///< dialed address, or the member of the hello
     std::uint64_t incarnation = 0;
-    frame_decoder decoder;
+    frame_decoder decoder{config::max_frame_bytes};
 
 private:
     [[nodiscard]] bool flush_locked(time_point now);
--- /dev/null
+++ b/src/sidecar/endpoint_service.cpp
@@ -0,0 +1,290 @@
+#include "sidecar/endpoint_service.h"
+
+#include "platform/wire.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace endive::sidecar {
+namespace {
+
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned first_server_error = 500;
+/// Connection attempts refused in a row after which the endpoint counts as gone until its next heartbeat.
+constexpr std::uint32_t connect_failures_until_absent = 2;
+
+/// The number of slots in a load header: running, waiting and slots, separated by commas.
+std::optional<std::uint32_t> slots_of(std::string_view load) {
+    const auto comma = load.rfind(',');
+    std::uint32_t slots = 0;
+    if (comma == std::string_view::npos ||
+        std::from_chars(load.data() + comma + 1, load.data() + load.size(), slots).ec != std::errc{}) {
+        return std::nullopt;
+    }
+    return slots;
+}
+
+} // namespace
+
+struct endpoint_service::job {
+    std::uint64_t id = 0;
+    call_message call;
+    reply_handler done;
+    time_point arrived;
+    time_point deadline;
+    std::optional<time_point> started;
+    std::uint64_t client_id = 0;
+    std::string version;
+    bool cold = false;
+};
+
+endpoint_service::endpoint_service(boost::asio::io_context& loop, const clock_source& clock,
+                                   counter_set& counters, const sidecar_settings& settings)
+    : clock_{clock}, counters_{counters}, tracker_{settings.service, settings.endpoint_address},
+      client_{loop, clock, settings.endpoint_address} {}
+
+std::uint64_t endpoint_service::execute(call_message call, reply_handler done) {
+    const auto now = clock_.now();
+    auto item = std::make_shared<job>();
+    item->id = next_id_++;
+    item->call = std::move(call);
+    item->done = std::move(done);
+    item->arrived = now;
+    item->deadline = now + item->call.remaining;
+    jobs_[item->id] = item;
+    if (item->call.endpoint_id != tracker_.current().endpoint_id ||
+        item->call.service != tracker_.current().service) {
+        refuse(item, mesh::reason::wrong_endpoint, duration{0});
+        return item->id;
+    }
+    if (!may_start()) {
+        refuse(item, mesh::reason::draining, duration{0});
+        return item->id;
+    }
+    const auto target = now + item->call.latency_target - item->call.waited;
+    apply(
+        gate_.offer({item->id, item->call.priority, item->call.latency_target, target, item->deadline}, now));
+    return item->id;
+}
+
+void endpoint_service::apply(const std::vector<mesh::gate_action>& actions) {
+    for (const auto& action : actions) {
+        const auto found = jobs_.find(action.ticket);
+        if (found == jobs_.end() || action.verdict == mesh::gate_verdict::queued) {
+            continue;
+        }
+        const auto item = found->second;
+        if (action.verdict == mesh::gate_verdict::start) {
+            start(item);
+        } else {
+            refuse(item, may_start() ? mesh::reason::no_room : mesh::reason::draining, action.retry_after);
+        }
+    }
+}
+
+void endpoint_service::start(const std::shared_ptr<job>& item) {
+    const auto now = clock_.now();
+    item->started = now;
+    item->version = tracker_.current().version;
+    item->cold = tracker_.current().cold_remaining > milliseconds{0};
+    http_message request;
+    request.method = item->call.method;
+    request.target = item->call.target;
+    request.headers = std::move(item->call.headers);
+    request.body = std::move(item->call.body);
+    const auto left =
+        std::max(milliseconds{1}, std::chrono::duration_cast<milliseconds>(item->deadline - now));
+    request.headers.push_back(
+        {std::string{platform_wire::remaining_time_header}, std::to_string(left.count())});
+    request.headers.push_back({std::string{platform_wire::expected_endpoint_header}, item->call.endpoint_id});
+    item->client_id =
+        client_.send(std::move(request), item->call.request_id,
+                     [this, item](endpoint_result result) { on_result(item, std::move(result)); });
+}
+
+void endpoint_service::on_result(const std::shared_ptr<job>& item, endpoint_result result) {
+    const auto latency = clock_.now() - *item->started;
+    reply_message message;
+    message.outcome = result.outcome;
+    message.why = result.why;
+    message.status = result.response.status;
+    std::optional<duration> service_time;
+    connect_failures_ = result.why == mesh::reason::connect_failed ? connect_failures_ + 1 : 0;
+    if (result.outcome == mesh::attempt_outcome::answered) {
+        const bool misdirected = result.response.status == status_misdirected;
+        if (misdirected || has_header(result.response.headers, platform_wire::not_executed_header)) {
+            message.outcome = mesh::attempt_outcome::not_run;
+            message.why = misdirected ? mesh::reason::wrong_endpoint : mesh::reason::endpoint_refused;
+            message.retry_after = milliseconds{0};
+        } else {
+            message.headers = end_to_end_headers(result.response.headers);
+            message.body = std::move(result.response.body);
+            const bool failed = result.response.status >= first_server_error;
+            if (!failed) {
+                service_time = latency;
+            }
+            record(*item, failed, latency);
+        }
+        if (misdirected) {
+            update([](mesh::endpoint_tracker& tracker) { tracker.on_unreachable(); });
+        }
+    } else if (result.outcome == mesh::attempt_outcome::unknown) {
+        record(*item, true, latency);
+    }
+    if (connect_failures_ >= connect_failures_until_absent) {
+        log_event(log_level::warning, "endpoint_unreachable",
+                  {{"endpoint", tracker_.current().endpoint_id}, {"failures", connect_failures_}});
+        update([](mesh::endpoint_tracker& tracker) { tracker.on_unreachable(); });
+    }
+    reply(item, std::move(message));
+    leave_gate(item, service_time);
+}
+
+void endpoint_service::record(const job& item, bool failed, duration latency) {
+    const auto matches = [&](const mesh::version_evidence& entry) {
+        return entry.version == item.version && entry.route == item.call.route;
+    };
+    auto found = std::find_if(evidence_.begin(), evidence_.end(), matches);
+    if (found == evidence_.end()) {
+        evidence_.push_back({tracker_.current().service, item.version, item.call.route});
+        found = evidence_.end() - 1;
+    }
+    if (failed) {
+        ++found->failed;
+    } else if (!item.cold) {
+        ++found->answered;
+        found->latency_us += static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(latency).count());
+    }
+}
+
+void endpoint_service::reply(const std::shared_ptr<job>& item, reply_message message) {
+    jobs_.erase(item->id);
+    message.stream = item->call.stream;
+    message.load = gate_.load();
+    message.load.accepting = may_start();
+    counters_.add("endpoint_" + std::string{to_string(message.why)});
+    item->done(std::move(message));
+}
+
+void endpoint_service::refuse(const std::shared_ptr<job>& item, mesh::reason why, duration retry_after) {
+    reply_message message;
+    message.outcome = mesh::attempt_outcome::not_run;
+    message.why = why;
+    message.retry_after = std::chrono::duration_cast<milliseconds>(retry_after);
+    reply(item, std::move(message));
+}
+
+void endpoint_service::leave_gate(const std::shared_ptr<job>& item, std::optional<duration> service_time) {
+    apply(gate_.finish(item->id, service_time, clock_.now()));
+}
+
+void endpoint_service::cancel(std::uint64_t id) {
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+        return;
+    }
+    const auto item = found->second;
+    jobs_.erase(found);
+    if (item->started) {
+        client_.cancel(item->client_id);
+        leave_gate(item, std::nullopt);
+    } else {
+        gate_.remove(id);
+    }
+}
+
+void endpoint_service::tick(time_point now) {
+    std::vector<std::shared_ptr<job>> expired;
+    for (const auto& [id, item] : jobs_) {
+        if (item->deadline <= now) {
+            expired.push_back(item);
+        }
+    }
+    for (const auto& item : expired) {
+        if (!item->started) {
+            gate_.remove(item->id);
+            refuse(item, mesh::reason::too_late, duration{0});
+            continue;
+        }
+        client_.cancel(item->client_id);
+        reply_message message;
+        message.why = mesh::reason::timed_out;
+        record(*item, true, now - *item->started);
+        reply(item, std::move(message));
+        leave_gate(item, std::nullopt);
+    }
+    if (gate_.waiting() > 0) {
+        apply(gate_.advance(now));
+    }
+}
+
+void endpoint_service::update(const std::function<void(mesh::endpoint_tracker&)>& change) {
+    change(tracker_);
+    follow_tracker();
+}
+
+void endpoint_service::follow_tracker() {
+    if (tracker_.revision() == seen_revision_) {
+        return;
+    }
+    seen_revision_ = tracker_.revision();
+    const auto& current = tracker_.current();
+    log_event(log_level::info, "endpoint_changed",
+              {{"endpoint", current.endpoint_id},
+               {"version", current.version},
+               {"state", static_cast<int>(current.state)},
+               {"born", current.born_unix_ms},
+               {"sequence", current.sequence}});
+    if (current.endpoint_id != current_endpoint_) {
+        current_endpoint_ = current.endpoint_id;
+        client_.drop_idle();
+    }
+    gate_.set_slots(std::max(1U, current.slots));
+    apply(gate_.set_ready(may_start(), clock_.now()));
+    if (changed_) {
+        changed_();
+    }
+}
+
+void endpoint_service::stop() {
+    stopping_ = true;
+    apply(gate_.set_ready(false, clock_.now()));
+}
+
+void endpoint_service::set_retired(bool retired) {
+    if (retired_ != retired) {
+        retired_ = retired;
+        apply(gate_.set_ready(may_start(), clock_.now()));
+    }
+}
+
+void endpoint_service::probe(const std::string& health_path) {
+    if (probing_ || tracker_.current().state != mesh::endpoint_state::absent || health_path.empty()) {
+        return;
+    }
+    probing_ = true;
+    http_message request;
+    request.method = "GET";
+    request.target = health_path;
+    request.headers.push_back(
+        {"Host", to_string(parse_address(tracker_.current().address).value_or(socket_address{}))});
+    client_.send(std::move(request), {}, [this](endpoint_result result) {
+        probing_ = false;
+        if (result.outcome != mesh::attempt_outcome::answered) {
+            return;
+        }
+        const auto id = find_header(result.response.headers, platform_wire::endpoint_id_header);
+        constexpr unsigned status_ok = 200;
+        const bool healthy = result.response.status == status_ok;
+        log_event(log_level::info, "endpoint_probed", {{"endpoint", id}, {"status", result.response.status}});
+        const auto slots = slots_of(find_header(result.response.headers, platform_wire::load_header));
+        update([&](mesh::endpoint_tracker& tracker) { tracker.on_health(id, healthy, slots.value_or(1)); });
+    });
+}
+
+void endpoint_service::sweep(time_point now) {
+    client_.sweep(now);
+}
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/forwarder.cpp
@@ -0,0 +1,395 @@
+#include "sidecar/forwarder.h"
+
+#include "platform/wire.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace endive::sidecar {
+namespace {
+
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_gateway_timeout = 504;
+constexpr unsigned first_server_error = 500;
+
+/// A daemon that has just started or lost its endpoints usually knows better after this time.
+constexpr duration retry_without_endpoint = milliseconds{300};
+/// Daemons that may refuse one request before its caller is told to come back.
+constexpr std::uint32_t max_refusals = 4;
+/// Part of the shared retry budget that is left unused: calls of repeated requests count as repeats too.
+constexpr double budget_reserve = 0.5;
+/// Requests without a deadline header wait at most this long.
+constexpr milliseconds default_deadline{30000};
+
+std::optional<milliseconds> parse_milliseconds(std::string_view text) {
+    std::uint32_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return milliseconds{value};
+}
+
+/// Headers that are passed on: end to end ones without those that the daemons set.
+header_list forwarded_headers(const header_list& headers, const std::string& caller_service) {
+    auto result = end_to_end_headers(headers);
+    std::erase_if(result, [](const header_field& entry) {
+        return same_name(entry.name, platform_wire::remaining_time_header) ||
+               same_name(entry.name, platform_wire::expected_endpoint_header) ||
+               same_name(entry.name, platform_wire::caller_service_header);
+    });
+    result.push_back({std::string{platform_wire::caller_service_header}, caller_service});
+    return result;
+}
+
+std::uint64_t next_random(std::uint64_t& state) {
+    state ^= state << 13;
+    state ^= state >> 7;
+    state ^= state << 17;
+    return state;
+}
+
+} // namespace
+
+/// One request between its arrival and its answer.
+struct forwarder::flight {
+    std::shared_ptr<exchange> from;
+    std::shared_ptr<const mesh::route_index> routes; ///< keeps `route` alive
+    const mesh::route* route = nullptr;
+    std::string service;
+    std::string request_id;
+    header_list headers;
+    time_point arrived;
+    time_point deadline;
+    version_choice version;
+    std::vector<std::string> tried; ///< daemons
+    std::uint32_t sent = 0;         ///< attempts that reached an endpoint, or may have
+    std::uint32_t refusals = 0;
+    duration retry_after{0}; ///< least of the refusals
+    mesh::reason last_refusal = mesh::reason::no_endpoint;
+    call_target* target = nullptr;
+    std::shared_ptr<peer_link> link; ///< keeps `target` alive
+    std::uint64_t call_id = 0;
+    std::uint64_t attempt_number = 0;
+    std::optional<reply_message> failed_answer; ///< the endpoint's own failure, if nothing better comes
+};
+
+/// An endpoint that a request may go to.
+struct forwarder::option {
+    const mesh::member* about = nullptr;
+    peer* remote = nullptr; ///< null: the endpoint beside this daemon
+    mesh::candidate facts;
+};
+
+forwarder::forwarder(const clock_source& clock, counter_set& counters, const sidecar_settings& settings,
+                     endpoint_service& local, peer_set& peers, rollouts& moves)
+    : clock_{clock}, counters_{counters}, settings_{settings}, local_{local}, peers_{peers}, moves_{moves} {
+    random_ ^= stable_hash(settings.name);
+}
+
+void forwarder::handle(const std::shared_ptr<exchange>& from) {
+    auto item = std::make_shared<flight>();
+    item->from = from;
+    item->arrived = from->arrived();
+    auto& request = from->request();
+    item->request_id = find_header(request.headers, platform_wire::request_id_header);
+    open_.insert(item);
+    from->on_abandoned([this, item] {
+        counters_.add("caller_left");
+        stop_attempt(*item);
+        open_.erase(item);
+    });
+    if (!routes_) {
+        refuse(item, mesh::reason::no_configuration, retry_without_endpoint);
+        return;
+    }
+    if (item->request_id.empty()) {
+        fail(item, status_bad_request, mesh::reason::bad_request);
+        return;
+    }
+    item->routes = routes_;
+    item->route = routes_->find(find_header(request.headers, "Host"), request.target);
+    if (item->route == nullptr) {
+        fail(item, status_not_found, mesh::reason::no_route);
+        return;
+    }
+    const auto told = parse_milliseconds(find_header(request.headers, platform_wire::remaining_time_header));
+    const auto allowed = std::min(told.value_or(default_deadline), item->route->timeout);
+    item->deadline = item->arrived + allowed;
+    item->service = item->route->parts[splits_.choose(*item->route)].service;
+    item->headers = forwarded_headers(request.headers, settings_.service);
+    item->version = moves_.choose(item->service);
+    share_of(item->service).on_request();
+    attempt(item);
+}
+
+mesh::retry_share& forwarder::share_of(const std::string& service) {
+    const auto found = shares_.find(service);
+    if (found != shares_.end()) {
+        return found->second;
+    }
+    const double daemons = static_cast<double>(peers_.peers().size() + 1);
+    const double burst = std::max(2.0, static_cast<double>(settings_.retry_slack) * budget_reserve / daemons);
+    return shares_.try_emplace(service, settings_.retry_ratio * budget_reserve, burst).first->second;
+}
+
+std::vector<forwarder::option> forwarder::all_options(const std::string& service) const {
+    std::vector<option> result;
+    const auto now = clock_.now();
+    const auto& self = peers_.self();
+    if (self.service == service && self.state == mesh::endpoint_state::ready) {
+        result.push_back({&self, nullptr, {self.daemon, true, true, local_.load(), 0, 0}});
+    }
+    for (auto& [name, entry] : peers_.peers()) {
+        const auto& about = entry.about;
+        const bool usable = about.service == service && about.state == mesh::endpoint_state::ready &&
+                            !about.stopping && entry.link && entry.load.accepting;
+        if (!usable) {
+            continue;
+        }
+        const bool same_domain = about.failure_domain == settings_.failure_domain;
+        const std::uint32_t suspicion = entry.link->is_suspect(now) ? 4 : 0;
+        result.push_back(
+            {&about,
+             &entry,
+             {name, false, same_domain, entry.load, entry.sent_since_load, entry.failures + suspicion}});
+    }
+    return result;
+}
+
+std::vector<forwarder::option> forwarder::options_for(const flight& item) const {
+    auto options = all_options(item.service);
+    const auto& version = item.version;
+    if (!version.moving_to.empty()) {
+        const auto is_new = [&](const option& entry) { return entry.about->version == version.moving_to; };
+        const bool any_new = std::any_of(options.begin(), options.end(), is_new);
+        const bool use_new = version.only_new || (version.use_new && any_new && item.sent == 0);
+        std::erase_if(options, [&](const option& entry) {
+            return is_new(entry) != use_new || entry.about->version.empty();
+        });
+    } else if (!options.empty()) {
+        // Without an order, a version that appears later than the oldest endpoint's is not to be used yet.
+        const option* oldest = nullptr;
+        for (const auto& entry : options) {
+            const bool known = !entry.about->version.empty() && entry.about->born_unix_ms != 0;
+            if (known && (oldest == nullptr || entry.about->born_unix_ms < oldest->about->born_unix_ms)) {
+                oldest = &entry;
+            }
+        }
+        if (oldest != nullptr) {
+            const auto version_in_use = oldest->about->version;
+            std::erase_if(options, [&](const option& entry) {
+                return !entry.about->version.empty() && entry.about->version != version_in_use;
+            });
+        }
+    }
+    std::erase_if(options, [&](const option& entry) {
+        return std::find(item.tried.begin(), item.tried.end(), entry.about->daemon) != item.tried.end();
+    });
+    return options;
+}
+
+call_message forwarder::make_call(const flight& item, const mesh::member& about, time_point now) const {
+    const auto& request = item.from->request();
+    call_message call;
+    call.service = item.service;
+    call.endpoint_id = about.endpoint_id;
+    call.request_id = item.request_id;
+    call.method = request.method;
+    call.target = request.target;
+    call.headers = item.headers;
+    call.body = request.body;
+    call.route = item.route->name;
+    call.remaining = std::chrono::duration_cast<milliseconds>(item.deadline - now);
+    call.latency_target = item.route->latency_target;
+    call.waited = std::chrono::duration_cast<milliseconds>(now - item.arrived);
+    call.priority = item.route->priority;
+    call.kind = item.route->kind;
+    return call;
+}
+
+void forwarder::attempt(const std::shared_ptr<flight>& item) {
+    const auto now = clock_.now();
+    if (now >= item->deadline) {
+        tick(now);
+        return;
+    }
+    const auto options = options_for(*item);
+    std::vector<mesh::candidate> facts;
+    facts.reserve(options.size());
+    for (const auto& entry : options) {
+        facts.push_back(entry.facts);
+    }
+    const mesh::choice_request question{item->from->request().body.size(), item->route->latency_target};
+    const auto chosen = mesh::choose_endpoint(facts, question, next_random(random_));
+    if (!chosen) {
+        if (item->failed_answer) {
+            deliver(item, std::move(*item->failed_answer));
+        } else if (item->sent > 0) {
+            fail(item, status_bad_gateway, item->last_refusal);
+        } else {
+            refuse(item, item->last_refusal, std::max(retry_without_endpoint, item->retry_after));
+        }
+        return;
+    }
+    const auto& target = options[*chosen];
+    const auto daemon = target.about->daemon;
+    item->tried.push_back(daemon);
+    const auto number = ++item->attempt_number;
+    auto call = make_call(*item, *target.about, now);
+    auto done = [this, item, daemon, number](reply_message reply) {
+        if (number == item->attempt_number && !item->from->finished()) {
+            item->target = nullptr;
+            item->link.reset();
+            on_reply(item, daemon, std::move(reply));
+        }
+    };
+    call_target* executor = &local_;
+    if (target.remote != nullptr) {
+        ++target.remote->sent_since_load;
+        item->link = target.remote->link;
+        executor = item->link.get();
+    }
+    item->target = executor;
+    const auto id = executor->execute(std::move(call), std::move(done));
+    if (number == item->attempt_number) {
+        item->call_id = id;
+    }
+}
+
+bool forwarder::may_repeat(const flight& item) {
+    const bool time_left = clock_.now() + item.route->latency_target / 4 < item.deadline;
+    return time_left && item.sent < item.route->max_attempts && share_of(item.service).take();
+}
+
+void forwarder::on_reply(const std::shared_ptr<flight>& item, const std::string& daemon,
+                         reply_message reply) {
+    auto* entry = peers_.find(daemon);
+    const bool safe = item->route->kind == mesh::request_kind::safe;
+    if (reply.outcome == mesh::attempt_outcome::not_run) {
+        on_not_run(item, reply);
+        return;
+    }
+    ++item->sent;
+    const bool failed = reply.outcome == mesh::attempt_outcome::unknown || reply.status >= first_server_error;
+    if (entry != nullptr) {
+        entry->failures = failed ? entry->failures + 1 : 0;
+    }
+    if (!failed) {
+        deliver(item, std::move(reply));
+        return;
+    }
+    if (reply.outcome == mesh::attempt_outcome::answered) {
+        item->failed_answer = std::move(reply);
+    }
+    if (safe && may_repeat(*item)) {
+        counters_.add("retry_" +
+                      std::string{to_string(item->failed_answer ? mesh::reason::none : reply.why)});
+        attempt(item);
+        return;
+    }
+    if (item->failed_answer) {
+        deliver(item, std::move(*item->failed_answer));
+    } else if (reply.why == mesh::reason::timed_out) {
+        fail(item, status_gateway_timeout, reply.why);
+    } else {
+        fail(item, status_bad_gateway, reply.why);
+    }
+}
+
+void forwarder::on_not_run(const std::shared_ptr<flight>& item, const reply_message& reply) {
+    ++item->refusals;
+    item->last_refusal = reply.why;
+    const auto wait = duration{reply.retry_after};
+    item->retry_after = item->retry_after == duration{0} ? wait : std::min(item->retry_after, wait);
+    const bool reached_endpoint =
+        reply.why == mesh::reason::endpoint_refused || reply.why == mesh::reason::wrong_endpoint;
+    // A refusal by the endpoint itself was an arrival there, and another one draws on the shared budget.
+    const bool allowed = !reached_endpoint || share_of(item->service).take();
+    if (allowed && item->refusals < max_refusals) {
+        attempt(item);
+        return;
+    }
+    if (item->failed_answer) {
+        deliver(item, std::move(*item->failed_answer));
+    } else if (item->sent > 0) {
+        fail(item, status_bad_gateway, reply.why);
+    } else {
+        refuse(item, reply.why, std::max(item->retry_after, retry_without_endpoint / 4));
+    }
+}
+
+void forwarder::deliver(const std::shared_ptr<flight>& item, reply_message reply) {
+    http_message response;
+    response.status = reply.status;
+    response.headers = std::move(reply.headers);
+    response.body = std::move(reply.body);
+    counters_.add("requests_delivered");
+    answer(item, std::move(response));
+}
+
+void forwarder::refuse(const std::shared_ptr<flight>& item, mesh::reason why, duration retry_after) {
+    auto response = own_response(status_unavailable, std::string{to_string(why)} + "\n");
+    const auto seconds = std::chrono::duration<double>(retry_after).count();
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f", seconds);
+    response.headers.push_back({"Retry-After", text.data()});
+    counters_.add("refused_" + std::string{to_string(why)});
+    log_event(log_level::info, "request_refused",
+              {{"request", item->request_id},
+               {"service", item->service},
+               {"reason", to_string(why)},
+               {"refusals", item->refusals},
+               {"retry_after_s", seconds}});
+    answer(item, std::move(response));
+}
+
+void forwarder::fail(const std::shared_ptr<flight>& item, unsigned status, mesh::reason why) {
+    counters_.add("failed_" + std::string{to_string(why)});
+    log_event(log_level::info, "request_failed",
+              {{"request", item->request_id},
+               {"service", item->service},
+               {"status", status},
+               {"reason", to_string(why)},
+               {"tried", item->tried},
+               {"sent", item->sent}});
+    answer(item, own_response(status, std::string{to_string(why)} + "\n"));
+}
+
+void forwarder::answer(const std::shared_ptr<flight>& item, http_message response) {
+    open_.erase(item);
+    stop_attempt(*item);
+    item->from->respond(std::move(response));
+}
+
+void forwarder::stop_attempt(flight& item) {
+    ++item.attempt_number;
+    if (item.target != nullptr) {
+        item.target->cancel(item.call_id);
+        item.target = nullptr;
+        item.link.reset();
+    }
+}
+
+void forwarder::tick(time_point now) {
+    std::vector<std::shared_ptr<flight>> expired;
+    for (const auto& item : open_) {
+        if (item->route != nullptr && item->deadline <= now) {
+            expired.push_back(item);
+        }
+    }
+    for (const auto& item : expired) {
+        if (item->from->finished()) {
+            open_.erase(item);
+        } else if (item->failed_answer) {
+            deliver(item, std::move(*item->failed_answer));
+        } else {
+            fail(item, status_gateway_timeout, mesh::reason::timed_out);
+        }
+    }
+}
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/forwarder.h
@@ -0,0 +1,52 @@
+#pragma once
+// The path of a caller's request: route, endpoint, attempts, the final answer.
+
+#include "sidecar/http_server.h"
+#include "sidecar/peer_set.h"
+#include "sidecar/rollouts.h"
+
+namespace endive::sidecar {
+
+/// Not thread safe.
+class forwarder {
+public:
+    forwarder(const clock_source& clock, counter_set& counters, const sidecar_settings& settings,
+              endpoint_service& local, peer_set& peers, rollouts& moves);
+    void set_configuration(std::shared_ptr<const mesh::route_index> routes) { routes_ = std::move(routes); }
+    /// The membership has been read, so that endpoints are known.
+    void handle(const std::shared_ptr<exchange>& request);
+    /// Ends requests whose time is over. Call every few tens of milliseconds.
+    void tick(time_point now);
+    [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
+
+private:
+    struct flight;
+    struct option;
+    void attempt(const std::shared_ptr<flight>& item);
+    [[nodiscard]] std::vector<option> options_for(const flight& item) const;
+    [[nodiscard]] std::vector<option> all_options(const std::string& service) const;
+    void on_reply(const std::shared_ptr<flight>& item, const std::string& daemon, reply_message reply);
+    void on_not_run(const std::shared_ptr<flight>& item, const reply_message& reply);
+    [[nodiscard]] bool may_repeat(const flight& item);
+    [[nodiscard]] call_message make_call(const flight& item, const mesh::member& about, time_point now) const;
+    void deliver(const std::shared_ptr<flight>& item, reply_message reply);
+    void refuse(const std::shared_ptr<flight>& item, mesh::reason why, duration retry_after);
+    void fail(const std::shared_ptr<flight>& item, unsigned status, mesh::reason why);
+    void answer(const std::shared_ptr<flight>& item, http_message response);
+    void stop_attempt(flight& item);
+    mesh::retry_share& share_of(const std::string& service);
+
+    const clock_source& clock_;
+    counter_set& counters_;
+    const sidecar_settings& settings_;
+    endpoint_service& local_;
+    peer_set& peers_;
+    rollouts& moves_;
+    std::shared_ptr<const mesh::route_index> routes_;
+    mesh::split_chooser splits_;
+    std::uint64_t random_ = 0x9e3779b97f4a7c15ULL;
+    std::map<std::string, mesh::retry_share> shares_;
+    std::set<std::shared_ptr<flight>> open_;
+};
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/http_message.cpp
@@ -0,0 +1,236 @@
+#include "sidecar/http_message.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+
+namespace endive::sidecar {
+namespace {
+
+namespace http = boost::beast::http;
+
+char lower(char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+bool is_connection_field(std::string_view name) {
+    static constexpr std::string_view names[] = {
+        "connection",         "keep-alive", "proxy-connection", "te",     "trailer",
+        "transfer-encoding",  "upgrade",    "content-length",   "expect", "proxy-authenticate",
+        "proxy-authorization"};
+    return std::any_of(std::begin(names), std::end(names),
+                       [&](std::string_view entry) { return same_name(entry, name); });
+}
+
+void append_field(std::string& out, std::string_view name, std::string_view value) {
+    out.append(name).append(": ").append(value).append("\r\n");
+}
+
+void append_fields(std::string& out, const header_list& headers) {
+    for (const auto& entry : headers) {
+        append_field(out, entry.name, entry.value);
+    }
+}
+
+/// Longest body size that is reserved from an announced length; larger bodies grow as they arrive.
+constexpr std::uint64_t max_reserved_body = 1024UL * 1024;
+
+} // namespace
+
+bool same_name(std::string_view a, std::string_view b) {
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](char x, char y) { return lower(x) == lower(y); });
+}
+
+std::string_view find_header(const header_list& headers, std::string_view name) {
+    for (const auto& entry : headers) {
+        if (same_name(entry.name, name)) {
+            return entry.value;
+        }
+    }
+    return {};
+}
+
+bool has_header(const header_list& headers, std::string_view name) {
+    return std::any_of(headers.begin(), headers.end(),
+                       [&](const header_field& entry) { return same_name(entry.name, name); });
+}
+
+header_list end_to_end_headers(const header_list& headers) {
+    std::vector<std::string_view> named; // by the Connection field
+    for (const auto& entry : headers) {
+        if (!same_name(entry.name, "connection")) {
+            continue;
+        }
+        std::string_view rest = entry.value;
+        while (!rest.empty()) {
+            const auto comma = std::min(rest.find(','), rest.size());
+            auto token = rest.substr(0, comma);
+            while (!token.empty() && token.front() == ' ') {
+                token.remove_prefix(1);
+            }
+            while (!token.empty() && token.back() == ' ') {
+                token.remove_suffix(1);
+            }
+            named.push_back(token);
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    header_list result;
+    result.reserve(headers.size());
+    for (const auto& entry : headers) {
+        const bool is_named = std::any_of(
+            named.begin(), named.end(), [&](std::string_view token) { return same_name(token, entry.name); });
+        if (!is_named && !is_connection_field(entry.name)) {
+            result.push_back(entry);
+        }
+    }
+    return result;
+}
+
+std::string serialize_request_head(const http_message& request) {
+    std::string out;
+    out.reserve(512);
+    out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    append_fields(out, request.headers);
+    const bool body_expected =
+        request.method != "GET" && request.method != "HEAD" && request.method != "DELETE";
+    if (!request.body.empty() || body_expected) {
+        append_field(out, "Content-Length", std::to_string(request.body.size()));
+    }
+    return out.append("\r\n");
+}
+
+std::string serialize_response_head(const http_message& response, bool close) {
+    std::string out;
+    out.reserve(512);
+    const auto phrase = http::obsolete_reason(http::int_to_status(response.status));
+    out.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
+    out.append(phrase.data(), phrase.size()).append("\r\n");
+    append_fields(out, response.headers);
+    const bool no_length = response.status == 204 || response.status == 304 || response.status < 200;
+    if (!no_length) {
+        append_field(out, "Content-Length", std::to_string(response.body.size()));
+    }
+    if (close) {
+        append_field(out, "Connection", "close");
+    }
+    return out.append("\r\n");
+}
+
+template <bool is_request>
+read_status message_reader<is_request>::feed(std::string& input) {
+    std::size_t offset = 0;
+    boost::beast::error_code code;
+    while (!this->is_done()) {
+        const auto rest = boost::asio::buffer(input.data() + offset, input.size() - offset);
+        if (rest.size() == 0) {
+            break;
+        }
+        code = {};
+        const auto consumed = this->put(rest, code);
+        offset += consumed;
+        if (code || consumed == 0) {
+            break;
+        }
+    }
+    input.erase(0, offset);
+    if (this->is_done()) {
+        message_.keep_alive = this->keep_alive();
+        return read_status::complete;
+    }
+    if (!code || code == http::error::need_more) {
+        return read_status::need_more;
+    }
+    if (code == http::error::header_limit) {
+        return read_status::header_too_large;
+    }
+    return code == http::error::body_limit ? read_status::body_too_large : read_status::malformed;
+}
+
+template <bool is_request>
+bool message_reader<is_request>::feed_end() {
+    if (!this->got_some() || !this->need_eof()) {
+        return false;
+    }
+    boost::beast::error_code code;
+    this->put_eof(code);
+    message_.keep_alive = false;
+    return !code && this->is_done();
+}
+
+template <bool is_request>
+void message_reader<is_request>::on_request_impl(verb /*method*/, string_view method_text, string_view target,
+                                                 int /*version*/, error_code& code) {
+    message_.method.assign(method_text.data(), method_text.size());
+    message_.target.assign(target.data(), target.size());
+    code = {};
+}
+
+template <bool is_request>
+void message_reader<is_request>::on_response_impl(int status, string_view /*reason*/, int /*version*/,
+                                                  error_code& code) {
+    message_.status = static_cast<unsigned>(status);
+    code = {};
+}
+
+template <bool is_request>
+void message_reader<is_request>::on_field_impl(field name, string_view name_text, string_view value,
+                                               error_code& code) {
+    code = {};
+    if (header_done_) {
+        return; // trailers are not passed on
+    }
+    if (name == field::expect) {
+        message_.expects_continue = true;
+    }
+    message_.headers.push_back({{name_text.data(), name_text.size()}, {value.data(), value.size()}});
+}
+
+template <bool is_request>
+void message_reader<is_request>::on_header_impl(error_code& code) {
+    header_done_ = true;
+    code = {};
+}
+
+template <bool is_request>
+void message_reader<is_request>::on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                                                   error_code& code) {
+    if (length) {
+        message_.body.reserve(std::min(*length, max_reserved_body));
+    }
+    code = {};
+}
+
+template <bool is_request>
+std::size_t message_reader<is_request>::on_body_impl(string_view bytes, error_code& code) {
+    message_.body.append(bytes.data(), bytes.size());
+    code = {};
+    return bytes.size();
+}
+
+template <bool is_request>
+void message_reader<is_request>::on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/,
+                                                      error_code& code) {
+    code = {};
+}
+
+template <bool is_request>
+std::size_t message_reader<is_request>::on_chunk_body_impl(std::uint64_t /*remain*/, string_view bytes,
+                                                           error_code& code) {
+    message_.body.append(bytes.data(), bytes.size());
+    code = {};
+    return bytes.size();
+}
+
+template <bool is_request>
+void message_reader<is_request>::on_finish_impl(error_code& code) {
+    code = {};
+}
+
+template class message_reader<true>;
+template class message_reader<false>;
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/main.cpp
@@ -0,0 +1,83 @@
+// endive_sidecar: the daemon beside one backend server on the users' platform.
+
+#include "sidecar/sidecar.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+ABSL_FLAG(std::string, settings, "", "path of the JSON settings file; by default the one the platform names");
+ABSL_FLAG(bool, check, false, "read and check the settings, print nothing when they are valid, and exit");
+ABSL_FLAG(bool, debug_log, false, "write debug lines to the log");
+
+namespace {
+
+std::string settings_path() {
+    auto path = absl::GetFlag(FLAGS_settings);
+    if (path.empty()) {
+        const char* named = std::getenv(endive::platform_wire::settings_variable.data());
+        path = named == nullptr ? std::string{} : std::string{named};
+    }
+    return path;
+}
+
+void run(const endive::sidecar::sidecar_settings& settings) {
+    boost::asio::io_context loop{1};
+    const endive::system_clock_source clock;
+    endive::sidecar::sidecar daemon{loop, clock, settings};
+    boost::asio::signal_set stop_signals{loop, SIGTERM, SIGINT};
+    stop_signals.async_wait([&](boost::system::error_code code, int) {
+        if (!code) {
+            daemon.stop();
+        }
+    });
+    boost::asio::signal_set reload_signal{loop, SIGHUP};
+    std::function<void(boost::system::error_code, int)> reload = [&](boost::system::error_code code, int) {
+        if (code) {
+            return;
+        }
+        try {
+            const auto changed = endive::sidecar::read_settings(settings_path());
+            endive::log_event(endive::log_level::info, "settings_reloaded",
+                              {{"changed", changed != settings}});
+        } catch (const endive::error& cause) {
+            endive::log_event(endive::log_level::warning, "settings_rejected",
+                              {{"place", cause.place()}, {"reason", cause.what()}});
+        }
+        reload_signal.async_wait(reload);
+    };
+    reload_signal.async_wait(reload);
+    daemon.start();
+    loop.run();
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    absl::SetProgramUsageMessage(
+        "The daemon beside one backend server.\n  endive_sidecar [--settings FILE] [--check]");
+    absl::ParseCommandLine(argc, argv);
+    try {
+        const auto settings = endive::sidecar::read_settings(settings_path());
+        if (absl::GetFlag(FLAGS_check)) {
+            return EXIT_SUCCESS;
+        }
+        endive::configure_log(absl::GetFlag(FLAGS_debug_log) ? endive::log_level::debug
+                                                             : endive::log_level::info,
+                              settings.name);
+        endive::log_event(endive::log_level::info, "started",
+                          {{"version", endive::version_text()}, {"service", settings.service}});
+        run(settings);
+        endive::log_event(endive::log_level::info, "ended");
+        return EXIT_SUCCESS;
+    } catch (const endive::error& cause) {
+        std::cerr << "endive_sidecar: " << endive::to_string(cause.code()) << " ("
+                  << endive::number(cause.code()) << "): " << cause.place() << ": " << cause.what() << "\n";
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/src/sidecar/messages.cpp
@@ -0,0 +1,242 @@
+#include "sidecar/messages.h"
+
+#include "sidecar/generated/mesh_generated.h"
+
+namespace endive::sidecar {
+namespace {
+
+namespace wire = endive::mesh::wire;
+using builder = flatbuffers::FlatBufferBuilder;
+
+struct payload_offset {
+    wire::payload type;
+    flatbuffers::Offset<void> value;
+};
+
+auto encode_headers(builder& out, const header_list& headers) {
+    std::vector<flatbuffers::Offset<wire::header>> fields;
+    fields.reserve(headers.size());
+    for (const auto& entry : headers) {
+        fields.push_back(
+            wire::Createheader(out, out.CreateString(entry.name), out.CreateString(entry.value)));
+    }
+    return out.CreateVector(fields);
+}
+
+auto encode_body(builder& out, const std::string& body) {
+    return out.CreateVector(reinterpret_cast<const std::uint8_t*>(body.data()), body.size());
+}
+
+auto encode_load(builder& out, const mesh::endpoint_load& load) {
+    constexpr double per_mille = 1000.0;
+    return wire::Createload(
+        out, load.outstanding, load.slots,
+        static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(load.service_time).count()),
+        static_cast<std::uint32_t>(load.slowness * per_mille), load.accepting);
+}
+
+payload_offset encode(builder& out, const call_message& value) {
+    const auto service = out.CreateString(value.service);
+    const auto endpoint_id = out.CreateString(value.endpoint_id);
+    const auto request_id = out.CreateString(value.request_id);
+    const auto method = out.CreateString(value.method);
+    const auto target = out.CreateString(value.target);
+    const auto headers = encode_headers(out, value.headers);
+    const auto body = encode_body(out, value.body);
+    const auto route = out.CreateString(value.route);
+    return {wire::payload::call,
+            wire::Createcall(out, value.stream, service, endpoint_id, request_id, method, target, headers,
+                             body, route, static_cast<std::uint32_t>(value.remaining.count()),
+                             static_cast<std::uint32_t>(value.latency_target.count()),
+                             static_cast<std::uint32_t>(value.waited.count()), value.priority,
+                             static_cast<std::uint8_t>(value.kind))
+                .Union()};
+}
+
+payload_offset encode(builder& out, const cancel_message& value) {
+    return {wire::payload::cancel, wire::Createcancel(out, value.stream).Union()};
+}
+
+payload_offset encode(builder& out, const reply_message& value) {
+    const auto headers = encode_headers(out, value.headers);
+    const auto body = encode_body(out, value.body);
+    const auto load = encode_load(out, value.load);
+    return {wire::payload::reply,
+            wire::Createreply(out, value.stream, static_cast<wire::outcome>(value.outcome),
+                              static_cast<std::uint16_t>(value.status), headers, body,
+                              static_cast<std::uint8_t>(value.why),
+                              static_cast<std::uint32_t>(value.retry_after.count()), load)
+                .Union()};
+}
+
+auto encode_rows(builder& out, const std::vector<mesh::store_row>& rows) {
+    std::vector<flatbuffers::Offset<wire::row>> entries;
+    for (const auto& row : rows) {
+        entries.push_back(wire::Createrow(out, out.CreateString(row.table), out.CreateString(row.key),
+                                          out.CreateString(row.value), row.version, row.removed));
+    }
+    return out.CreateVector(entries);
+}
+
+payload_offset encode(builder& out, const fetch_message& value) {
+    const auto rows = encode_rows(out, value.rows);
+    return {wire::payload::fetch, wire::Createfetch(out, rows).Union()};
+}
+
+payload_offset encode(builder& out, const announce_message& value) {
+    std::vector<flatbuffers::Offset<flatbuffers::String>> members;
+    for (const auto& entry : value.members) {
+        members.push_back(out.CreateString(mesh::encode(entry)));
+    }
+    std::vector<flatbuffers::Offset<wire::evidence>> counters;
+    for (const auto& entry : value.counters) {
+        counters.push_back(wire::Createevidence(
+            out, out.CreateString(entry.service), out.CreateString(entry.version),
+            out.CreateString(entry.route), entry.answered, entry.failed, entry.latency_us));
+    }
+    const auto members_offset = out.CreateVector(members);
+    const auto rows = encode_rows(out, value.rows);
+    const auto heads = encode_rows(out, value.heads);
+    const auto load = value.load ? encode_load(out, *value.load) : flatbuffers::Offset<wire::load>{};
+    const auto counters_offset = out.CreateVector(counters);
+    return {wire::payload::announce,
+            wire::Createannounce(out, members_offset, rows, heads, load, counters_offset).Union()};
+}
+
+payload_offset encode(builder& out, const ping_message& value) {
+    return {wire::payload::ping, wire::Createping(out, value.id, value.answer).Union()};
+}
+
+std::string text_of(const flatbuffers::String* text) {
+    return text == nullptr ? std::string{} : text->str();
+}
+
+header_list decode_headers(const flatbuffers::Vector<flatbuffers::Offset<wire::header>>* fields) {
+    header_list result;
+    if (fields != nullptr) {
+        result.reserve(fields->size());
+        for (const auto* entry : *fields) {
+            result.push_back({text_of(entry->name()), text_of(entry->value())});
+        }
+    }
+    return result;
+}
+
+std::string decode_body(const flatbuffers::Vector<std::uint8_t>* body) {
+    return body == nullptr ? std::string{}
+                           : std::string{reinterpret_cast<const char*>(body->data()), body->size()};
+}
+
+mesh::endpoint_load decode_load(const wire::load* load) {
+    if (load == nullptr) {
+        return {};
+    }
+    constexpr double per_mille = 1000.0;
+    return {load->outstanding(), load->slots(), std::chrono::microseconds{load->service_time_us()},
+            load->slowness_permille() / per_mille, load->accepting()};
+}
+
+call_message decode(const wire::call& value) {
+    if (value.kind() > static_cast<std::uint8_t>(mesh::request_kind::upload)) {
+        throw error{result_code::peer_frame_malformed, "unknown kind of request"};
+    }
+    return {value.stream(),
+            text_of(value.service()),
+            text_of(value.endpoint_id()),
+            text_of(value.request_id()),
+            text_of(value.method()),
+            text_of(value.target()),
+            decode_headers(value.headers()),
+            decode_body(value.body()),
+            text_of(value.route()),
+            milliseconds{value.remaining_ms()},
+            milliseconds{value.latency_target_ms()},
+            milliseconds{value.waited_ms()},
+            value.priority(),
+            static_cast<mesh::request_kind>(value.kind())};
+}
+
+reply_message decode(const wire::reply& value) {
+    if (value.reason() > static_cast<std::uint8_t>(mesh::reason::memory) ||
+        value.result() > wire::outcome::unknown) {
+        throw error{result_code::peer_frame_malformed, "unknown outcome or reason"};
+    }
+    return {value.stream(),
+            static_cast<mesh::attempt_outcome>(value.result()),
+            value.status(),
+            decode_headers(value.headers()),
+            decode_body(value.body()),
+            static_cast<mesh::reason>(value.reason()),
+            milliseconds{value.retry_after_ms()},
+            decode_load(value.sender_load())};
+}
+
+std::vector<mesh::store_row> decode_rows(const flatbuffers::Vector<flatbuffers::Offset<wire::row>>* rows) {
+    std::vector<mesh::store_row> result;
+    if (rows != nullptr) {
+        for (const auto* row : *rows) {
+            result.push_back({text_of(row->table_name()), text_of(row->key()), text_of(row->value()),
+                              row->version(), row->removed()});
+        }
+    }
+    return result;
+}
+
+announce_message decode(const wire::announce& value) {
+    announce_message result;
+    if (value.members() != nullptr) {
+        for (const auto* entry : *value.members()) {
+            result.members.push_back(mesh::decode_member(entry->string_view()));
+        }
+    }
+    result.rows = decode_rows(value.rows());
+    result.heads = decode_rows(value.heads());
+    if (value.sender_load() != nullptr) {
+        result.load = decode_load(value.sender_load());
+    }
+    if (value.counters() != nullptr) {
+        for (const auto* entry : *value.counters()) {
+            result.counters.push_back({text_of(entry->service()), text_of(entry->version()),
+                                       text_of(entry->route()), entry->answered(), entry->failed(),
+                                       entry->latency_us()});
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+std::string encode(const peer_message& message) {
+    builder out;
+    const auto content = std::visit([&](const auto& value) { return encode(out, value); }, message);
+    out.Finish(wire::Createmessage(out, content.type, content.value));
+    return make_frame({reinterpret_cast<const char*>(out.GetBufferPointer()), out.GetSize()});
+}
+
+peer_message decode_message(std::string_view payload) {
+    flatbuffers::Verifier verifier{reinterpret_cast<const std::uint8_t*>(payload.data()), payload.size()};
+    if (!verifier.VerifyBuffer<wire::message>()) {
+        throw error{result_code::peer_frame_malformed, "not a message between daemons"};
+    }
+    const auto* message = flatbuffers::GetRoot<wire::message>(payload.data());
+    switch (message->payload_type()) {
+    case wire::payload::call:
+        return decode(*message->payload_as_call());
+    case wire::payload::cancel:
+        return cancel_message{message->payload_as_cancel()->stream()};
+    case wire::payload::reply:
+        return decode(*message->payload_as_reply());
+    case wire::payload::announce:
+        return decode(*message->payload_as_announce());
+    case wire::payload::fetch:
+        return fetch_message{decode_rows(message->payload_as_fetch()->rows())};
+    case wire::payload::ping:
+        return ping_message{message->payload_as_ping()->id(), message->payload_as_ping()->answer()};
+    case wire::payload::NONE:
+        break;
+    }
+    throw error{result_code::peer_frame_malformed, "a message without content"};
+}
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/messages.h
@@ -0,0 +1,76 @@
+#pragma once
+// Messages between daemons as value types, and their FlatBuffers form (schema/mesh.fbs).
+
+#include "sidecar/http_message.h"
+
+#include "endive/mesh.h"
+
+#include <variant>
+
+namespace endive::sidecar {
+
+/// Asks the receiver to run a request at its endpoint.
+struct call_message {
+    std::uint64_t stream = 0; ///< chosen by the sender, unique on the link
+    std::string service;
+    std::string endpoint_id;
+    std::string request_id;
+    std::string method;
+    std::string target;
+    header_list headers; ///< end to end only
+    std::string body;
+    std::string route;
+    milliseconds remaining{0}; ///< until the answer is of no use
+    milliseconds latency_target{0};
+    milliseconds waited{0}; ///< since the caller's request arrived
+    std::uint32_t priority = 0;
+    mesh::request_kind kind = mesh::request_kind::unsafe;
+};
+
+/// The caller of an earlier call message left.
+struct cancel_message {
+    std::uint64_t stream = 0;
+};
+
+struct reply_message {
+    std::uint64_t stream = 0;
+    mesh::attempt_outcome outcome = mesh::attempt_outcome::unknown;
+    unsigned status = 0; ///< of the endpoint, when answered or refused by it
+    header_list headers;
+    std::string body;
+    mesh::reason why = mesh::reason::none;
+    milliseconds retry_after{0};
+    mesh::endpoint_load load;
+};
+
+/// Beliefs that the sender passes on; empty parts are left out.
+struct announce_message {
+    std::vector<mesh::member> members;
+    std::vector<mesh::store_row> rows;
+    std::vector<mesh::store_row> heads; ///< rows that the sender has, without their values
+    std::optional<mesh::endpoint_load> load;
+    std::vector<mesh::version_evidence> counters;
+};
+
+/// Asks for the values of rows.
+struct fetch_message {
+    std::vector<mesh::store_row> rows;
+};
+
+struct ping_message {
+    std::uint64_t id = 0;
+    bool answer = false;
+};
+
+using peer_message =
+    std::variant<call_message, cancel_message, reply_message, announce_message, fetch_message, ping_message>;
+
+/// Largest frame: a body at the callers' limit and its header.
+inline constexpr std::size_t max_message_bytes = 72UL * 1024 * 1024;
+
+/// A frame with its length prefix. Thread safe.
+[[nodiscard]] std::string encode(const peer_message& message);
+/// Verifies and decodes a frame without its prefix. Throws `error` with `peer_frame_malformed`. Thread safe.
+[[nodiscard]] peer_message decode_message(std::string_view payload);
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/peer_link.cpp
@@ -0,0 +1,167 @@
+#include "sidecar/peer_link.h"
+
+namespace endive::sidecar {
+namespace {
+
+/// Silence after which a busy link is pinged; well above the time of a domain crossing.
+constexpr duration ping_after_busy = milliseconds{400};
+/// Silence after which an idle link is pinged, so that a cut is known before work goes there.
+constexpr duration ping_after_idle = milliseconds{1500};
+/// A ping unanswered for this long makes the link a bad choice.
+constexpr duration suspect_after = milliseconds{250};
+/// A ping unanswered for this long means that the connection is gone. Lost packets are repeated after 200 to
+/// 400 ms, twice in a row within it.
+constexpr duration dead_after = milliseconds{1500};
+
+} // namespace
+
+peer_link::peer_link(std::shared_ptr<stream> connection, const clock_source& clock, call_target& local,
+                     peer_events& events)
+    : connection_{std::move(connection)}, clock_{clock}, local_{local}, events_{events}, last_heard_{
+                                                                                             clock.now()} {}
+
+void peer_link::start() {
+    connection_->start([self = shared_from_this()](std::string_view bytes) { self->on_data(bytes); },
+                       [self = shared_from_this()](stream_end) { self->end(); });
+}
+
+std::uint64_t peer_link::execute(call_message call, reply_handler done) {
+    const auto id = next_stream_++;
+    if (!connection_->is_open()) {
+        reply_message lost;
+        lost.outcome = mesh::attempt_outcome::not_run;
+        lost.why = mesh::reason::peer_lost;
+        done(std::move(lost));
+        return id;
+    }
+    call.stream = id;
+    pending_[id] = std::move(done);
+    send(call);
+    return id;
+}
+
+void peer_link::cancel(std::uint64_t id) {
+    if (pending_.erase(id) > 0) {
+        send(cancel_message{id});
+    }
+}
+
+void peer_link::send(const peer_message& message) {
+    connection_->send(encode(message));
+}
+
+bool peer_link::is_suspect(time_point now) const {
+    return pinged_ && now - *pinged_ > suspect_after;
+}
+
+void peer_link::on_data(std::string_view bytes) {
+    const auto self = shared_from_this();
+    last_heard_ = clock_.now();
+    pinged_.reset();
+    try {
+        decoder_.feed(bytes);
+        while (!ended_) {
+            const auto frame = decoder_.next();
+            if (!frame) {
+                break;
+            }
+            on_message(decode_message(*frame));
+        }
+    } catch (const error& cause) {
+        log_event(log_level::warning, "peer_message_malformed",
+                  {{"peer", daemon_}, {"code", number(cause.code())}, {"reason", cause.what()}});
+        close();
+    }
+}
+
+void peer_link::on_message(peer_message message) {
+    const auto self = shared_from_this();
+    if (auto* call = std::get_if<call_message>(&message)) {
+        on_call(std::move(*call));
+    } else if (const auto* cancelled = std::get_if<cancel_message>(&message)) {
+        const auto found = serving_.find(cancelled->stream);
+        if (found != serving_.end()) {
+            const auto local_id = found->second;
+            serving_.erase(found);
+            local_.cancel(local_id);
+        }
+    } else if (auto* reply = std::get_if<reply_message>(&message)) {
+        events_.on_load(self, reply->load);
+        const auto found = pending_.find(reply->stream);
+        if (found != pending_.end()) {
+            const auto done = std::move(found->second);
+            pending_.erase(found);
+            done(std::move(*reply));
+        }
+    } else if (auto* announced = std::get_if<announce_message>(&message)) {
+        events_.on_announce(self, std::move(*announced));
+    } else if (const auto* fetch = std::get_if<fetch_message>(&message)) {
+        events_.on_fetch(self, *fetch);
+    } else if (const auto* ping = std::get_if<ping_message>(&message); ping != nullptr && !ping->answer) {
+        send(ping_message{ping->id, true});
+    }
+}
+
+void peer_link::on_call(call_message call) {
+    const auto stream_id = call.stream;
+    // The reply may come before `execute` returns.
+    serving_[stream_id] = 0;
+    const auto local_id =
+        local_.execute(std::move(call), [self = weak_from_this(), stream_id](const reply_message& reply) {
+            const auto link = self.lock();
+            if (link && link->serving_.erase(stream_id) > 0) {
+                reply_message sent = reply;
+                sent.stream = stream_id;
+                link->send(sent);
+            }
+        });
+    const auto found = serving_.find(stream_id);
+    if (found != serving_.end()) {
+        found->second = local_id;
+    }
+}
+
+void peer_link::tick(time_point now) {
+    if (ended_) {
+        return;
+    }
+    if (pinged_) {
+        if (now - *pinged_ > dead_after) {
+            log_event(log_level::warning, "peer_silent",
+                      {{"peer", daemon_},
+                       {"silent_ms", std::chrono::duration_cast<milliseconds>(now - last_heard_).count()},
+                       {"open_calls", pending_.size()}});
+            close();
+        }
+        return;
+    }
+    if (now - last_heard_ > (pending_.empty() ? ping_after_idle : ping_after_busy)) {
+        pinged_ = now;
+        send(ping_message{static_cast<std::uint64_t>(now.time_since_epoch().count()), false});
+    }
+}
+
+void peer_link::close() {
+    const auto self = shared_from_this();
+    connection_->close();
+    end();
+}
+
+void peer_link::end() {
+    if (std::exchange(ended_, true)) {
+        return;
+    }
+    const auto self = shared_from_this();
+    for (const auto& [stream_id, local_id] : std::exchange(serving_, {})) {
+        local_.cancel(local_id);
+    }
+    events_.on_down(self);
+    for (auto& [id, done] : std::exchange(pending_, {})) {
+        reply_message lost;
+        lost.outcome = mesh::attempt_outcome::unknown;
+        lost.why = mesh::reason::peer_lost;
+        done(std::move(lost));
+    }
+}
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/peer_set.cpp
@@ -0,0 +1,315 @@
+#include "sidecar/peer_set.h"
+
+#include <algorithm>
+
+namespace endive::sidecar {
+namespace {
+
+constexpr duration connect_patience = milliseconds{800};
+constexpr duration min_dial_pause = milliseconds{100};
+/// A daemon that is away is tried this often: it may come back within a second of its restart.
+constexpr duration max_dial_pause = milliseconds{800};
+/// Rows up to this size travel with their value; of larger ones only the version is told.
+constexpr std::size_t max_spread_bytes = 2048;
+/// The store usually delivers a row itself within this time; after it, a peer is asked.
+constexpr duration fetch_after = milliseconds{200};
+/// A daemon that no link has reached for so long has left for good.
+constexpr duration gone_after = std::chrono::seconds{60};
+
+} // namespace
+
+peer_set::peer_set(boost::asio::io_context& loop, const clock_source& clock, const sidecar_settings& settings,
+                   endpoint_service& local, const mesh::row_replica& rows, handlers callbacks)
+    : loop_{loop}, clock_{clock}, local_{local}, rows_{rows}, callbacks_{std::move(callbacks)}, acceptor_{
+                                                                                                    loop} {
+    try {
+        const auto endpoint = to_endpoint(settings.peers_address);
+        acceptor_.open(endpoint.protocol());
+        acceptor_.set_option(tcp::acceptor::reuse_address{true});
+        acceptor_.bind(endpoint);
+        acceptor_.listen(boost::asio::socket_base::max_listen_connections);
+    } catch (const boost::system::system_error& cause) {
+        throw error{result_code::settings_port_unavailable,
+                    "cannot listen on " + settings.peers_address + ": " + cause.what()};
+    }
+    accept();
+}
+
+void peer_set::accept() {
+    acceptor_.async_accept([this](error_code code, tcp::socket socket) {
+        if (code == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (!code) {
+            adopt(std::make_shared<stream>(std::move(socket)));
+        }
+        accept();
+    });
+}
+
+void peer_set::adopt(std::shared_ptr<stream> connection) {
+    const auto link = std::make_shared<peer_link>(std::move(connection), clock_, local_, *this);
+    links_.insert(link);
+    greet(*link);
+    link->start();
+}
+
+/// The first announcement of a link: who this is and what it knows.
+void peer_set::greet(peer_link& link) {
+    announce_message hello;
+    hello.members.push_back(self_);
+    for (const auto& [name, entry] : peers_) {
+        hello.members.push_back(entry.about);
+    }
+    for (auto row : rows_.all()) {
+        if (row.value.size() <= max_spread_bytes) {
+            hello.rows.push_back(std::move(row));
+        } else {
+            row.value.clear();
+            hello.heads.push_back(std::move(row));
+        }
+    }
+    hello.load = local_.load();
+    hello.counters = local_.evidence();
+    link.send(hello);
+}
+
+void peer_set::set_self(const mesh::member& self) {
+    self_ = self;
+    announce_message message;
+    message.members.push_back(self_);
+    message.load = local_.load();
+    broadcast(message);
+}
+
+void peer_set::learn(const mesh::member& about) {
+    if (about.daemon == self_.daemon) {
+        callbacks_.member_news(about);
+        return;
+    }
+    const auto [found, is_new] = peers_.try_emplace(about.daemon);
+    auto& entry = found->second;
+    if (!is_new && !mesh::supersedes(about, entry.about)) {
+        return;
+    }
+    const bool restarted = entry.about.daemon_start_unix_ms != about.daemon_start_unix_ms;
+    const bool moved = entry.about.address != about.address;
+    entry.about = about;
+    entry.load.slots = std::max(1U, about.slots);
+    if (restarted || moved) {
+        entry.load = {0, std::max(1U, about.slots), duration{0}, 0, true};
+        entry.sent_since_load = 0;
+        entry.failures = 0;
+        entry.next_dial = time_point{};
+        entry.dial_pause = duration{0};
+        entry.unreachable_since.reset();
+        if (moved && entry.link) {
+            entry.link.reset();
+        }
+    }
+    callbacks_.member_news(about);
+    if (!entry.link) {
+        dial(entry);
+    }
+}
+
+void peer_set::dial(peer& entry) {
+    const auto now = clock_.now();
+    if (closed_ || entry.dialing || now < entry.next_dial || entry.about.address.empty()) {
+        return;
+    }
+    entry.dialing = true;
+    entry.dial_pause = std::clamp(entry.dial_pause * 2, min_dial_pause, max_dial_pause);
+    entry.next_dial = now + entry.dial_pause;
+    const auto name = entry.about.daemon;
+    connect_stream(loop_, to_endpoint(entry.about.address), connect_patience,
+                   [this, name](std::shared_ptr<stream> connection) {
+                       auto* known = find(name);
+                       if (known != nullptr) {
+                           known->dialing = false;
+                       }
+                       if (connection && (closed_ || known == nullptr || known->link)) {
+                           connection->close(); // the other side was faster
+                       } else if (connection) {
+                           adopt(std::move(connection));
+                       }
+                   });
+}
+
+peer* peer_set::find(const std::string& daemon) {
+    const auto found = peers_.find(daemon);
+    return found == peers_.end() ? nullptr : &found->second;
+}
+
+void peer_set::broadcast(const peer_message& message) {
+    if (links_.empty()) {
+        return;
+    }
+    const auto frame = std::make_shared<const std::string>(encode(message));
+    for (const auto& [name, entry] : peers_) {
+        if (entry.link) {
+            entry.link->send_frame(frame);
+        }
+    }
+}
+
+void peer_set::spread(const mesh::store_row& row) {
+    announce_message message;
+    if (row.value.size() <= max_spread_bytes) {
+        message.rows.push_back(row);
+    } else {
+        message.heads.push_back({row.table, row.key, {}, row.version, row.removed});
+    }
+    broadcast(message);
+}
+
+void peer_set::spread_load(const mesh::endpoint_load& load) {
+    announce_message message;
+    message.load = load;
+    broadcast(message);
+}
+
+void peer_set::spread_evidence(const std::vector<mesh::version_evidence>& counters) {
+    announce_message message;
+    message.counters = counters;
+    broadcast(message);
+}
+
+void peer_set::on_announce(const std::shared_ptr<peer_link>& link, announce_message message) {
+    if (link->daemon().empty()) {
+        if (message.members.empty() || message.members.front().daemon == self_.daemon) {
+            link->close();
+            return;
+        }
+        link->set_daemon(message.members.front());
+    }
+    for (const auto& about : message.members) {
+        learn(about);
+    }
+    auto* entry = find(link->daemon());
+    if (entry != nullptr && entry->link && entry->link->daemon_start() < link->daemon_start()) {
+        const auto stale = entry->link; // of an earlier start of that daemon
+        entry->link = link;
+        stale->close();
+    } else if (entry != nullptr && !entry->link) {
+        entry->link = link;
+        entry->dial_pause = duration{0};
+        entry->unreachable_since.reset();
+        log_event(log_level::info, "peer_up", {{"peer", link->daemon()}});
+    }
+    if (message.load) {
+        on_load(link, *message.load);
+    }
+    for (const auto& row : message.rows) {
+        callbacks_.row(row);
+    }
+    fetch_missing(link, message.heads);
+    if (!message.counters.empty() && entry != nullptr) {
+        callbacks_.evidence(link->daemon(), entry->about.daemon_start_unix_ms, std::move(message.counters));
+    }
+}
+
+void peer_set::fetch_missing(const std::shared_ptr<peer_link>& link,
+                             const std::vector<mesh::store_row>& heads) {
+    for (const auto& head : heads) {
+        const auto* known = rows_.find(head.table, head.key);
+        if (known == nullptr) {
+            link->send(fetch_message{{head}});
+        } else if (known->version < head.version) {
+            wanted_.push_back({head, link, clock_.now()});
+        }
+    }
+}
+
+void peer_set::on_fetch(const std::shared_ptr<peer_link>& link, const fetch_message& message) {
+    announce_message answer;
+    for (const auto& wanted : message.rows) {
+        if (const auto* row = rows_.find(wanted.table, wanted.key)) {
+            answer.rows.push_back(*row);
+        }
+    }
+    link->send(answer);
+}
+
+void peer_set::on_load(const std::shared_ptr<peer_link>& link, const mesh::endpoint_load& load) {
+    if (auto* entry = find(link->daemon())) {
+        entry->load = load;
+        entry->sent_since_load = 0;
+    }
+}
+
+void peer_set::on_down(const std::shared_ptr<peer_link>& link) {
+    links_.erase(link);
+    auto* entry = find(link->daemon());
+    if (entry == nullptr || entry->link != link) {
+        return;
+    }
+    entry->link.reset();
+    for (const auto& other : links_) {
+        if (other->daemon() == link->daemon() && other->is_open()) {
+            entry->link = other;
+        }
+    }
+    if (!entry->link) {
+        log_event(log_level::info, "peer_down", {{"peer", link->daemon()}});
+        entry->next_dial = clock_.now();
+        dial(*entry);
+    }
+}
+
+void peer_set::tick(time_point now) {
+    const auto links = links_;
+    for (const auto& link : links) {
+        link->tick(now);
+    }
+    for (auto& [name, entry] : peers_) {
+        if (entry.link) {
+            entry.unreachable_since.reset();
+            continue;
+        }
+        if (!entry.unreachable_since) {
+            entry.unreachable_since = now;
+        }
+        dial(entry);
+    }
+    std::erase_if(wanted_, [&](const wanted_row& wanted) {
+        const auto* known = rows_.find(wanted.head.table, wanted.head.key);
+        if (known != nullptr && known->version >= wanted.head.version) {
+            return true;
+        }
+        if (now - wanted.since < fetch_after) {
+            return false;
+        }
+        if (const auto link = wanted.from.lock()) {
+            link->send(fetch_message{{wanted.head}});
+        }
+        return true;
+    });
+}
+
+std::size_t peer_set::link_count() const {
+    return static_cast<std::size_t>(std::count_if(
+        peers_.begin(), peers_.end(), [](const auto& item) { return item.second.link != nullptr; }));
+}
+
+std::vector<mesh::member> peer_set::long_gone(time_point now) const {
+    std::vector<mesh::member> result;
+    for (const auto& [name, entry] : peers_) {
+        if (entry.unreachable_since && now - *entry.unreachable_since > gone_after) {
+            result.push_back(entry.about);
+        }
+    }
+    return result;
+}
+
+void peer_set::close() {
+    closed_ = true;
+    error_code ignored; // the process ends
+    acceptor_.close(ignored);
+    const auto links = links_;
+    for (const auto& link : links) {
+        link->close();
+    }
+}
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/peer_set.h
@@ -0,0 +1,86 @@
+#pragma once
+// All daemons that this one knows: what they say of themselves, links to them, load of their endpoints.
+
+#include "sidecar/endpoint_service.h"
+#include "sidecar/peer_link.h"
+#include "sidecar/settings.h"
+
+namespace endive::sidecar {
+
+/// A daemon as seen from here.
+struct peer {
+    mesh::member about;
+    std::shared_ptr<peer_link> link; ///< null while none is open
+    mesh::endpoint_load load;
+    std::uint32_t sent_since_load = 0;
+    std::uint32_t failures = 0; ///< in a row, of requests sent there
+    time_point next_dial{};
+    duration dial_pause{0};
+    bool dialing = false;
+    std::optional<time_point> unreachable_since;
+};
+
+/// Not thread safe.
+class peer_set final : public peer_events {
+public:
+    struct handlers {
+        std::function<void(const mesh::store_row&)> row;
+        std::function<void(const mesh::member&)> member_news;
+        std::function<void(const std::string& daemon, std::int64_t start,
+                           std::vector<mesh::version_evidence>)>
+            evidence;
+    };
+    peer_set(boost::asio::io_context& loop, const clock_source& clock, const sidecar_settings& settings,
+             endpoint_service& local, const mesh::row_replica& rows, handlers callbacks);
+
+    /// What this daemon says of itself; sent to all links.
+    void set_self(const mesh::member& self);
+    [[nodiscard]] const mesh::member& self() const { return self_; }
+    /// A daemon that another one or the store told of.
+    void learn(const mesh::member& about);
+    /// Tells all daemons of a row that came from the store.
+    void spread(const mesh::store_row& row);
+    void spread_load(const mesh::endpoint_load& load);
+    void spread_evidence(const std::vector<mesh::version_evidence>& counters);
+    [[nodiscard]] std::map<std::string, peer>& peers() { return peers_; }
+    [[nodiscard]] peer* find(const std::string& daemon);
+    /// Dials, pings, forgets. Call every 100 ms or so.
+    void tick(time_point now);
+    [[nodiscard]] std::size_t link_count() const;
+    /// Daemons that were unreachable for so long that their rows may go.
+    [[nodiscard]] std::vector<mesh::member> long_gone(time_point now) const;
+    void forget(const std::string& daemon) { peers_.erase(daemon); }
+    void close();
+
+    void on_announce(const std::shared_ptr<peer_link>& link, announce_message message) override;
+    void on_fetch(const std::shared_ptr<peer_link>& link, const fetch_message& message) override;
+    void on_load(const std::shared_ptr<peer_link>& link, const mesh::endpoint_load& load) override;
+    void on_down(const std::shared_ptr<peer_link>& link) override;
+
+private:
+    void accept();
+    void dial(peer& entry);
+    void adopt(std::shared_ptr<stream> connection);
+    void greet(peer_link& link);
+    void broadcast(const peer_message& message);
+    void fetch_missing(const std::shared_ptr<peer_link>& link, const std::vector<mesh::store_row>& heads);
+
+    boost::asio::io_context& loop_;
+    const clock_source& clock_;
+    endpoint_service& local_;
+    const mesh::row_replica& rows_;
+    handlers callbacks_;
+    tcp::acceptor acceptor_;
+    mesh::member self_;
+    std::map<std::string, peer> peers_;
+    std::set<std::shared_ptr<peer_link>> links_;
+    struct wanted_row {
+        mesh::store_row head;
+        std::weak_ptr<peer_link> from;
+        time_point since;
+    };
+    std::vector<wanted_row> wanted_; ///< rows that others have and this daemon lacks
+    bool closed_ = false;
+};
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/settings.cpp
@@ -0,0 +1,48 @@
+#include "sidecar/settings.h"
+
+#include "platform/wire.h"
+
+namespace endive::sidecar {
+namespace {
+
+milliseconds read_time(settings_reader& reader, const std::string& key, milliseconds fallback) {
+    const auto text = reader.optional_string(key, std::to_string(fallback.count()) + "ms");
+    try {
+        return platform_wire::parse_time(text);
+    } catch (const error& cause) {
+        throw error{result_code::settings_out_of_range, cause.what(), key};
+    }
+}
+
+} // namespace
+
+sidecar_settings read_settings(const std::string& path) {
+    auto reader = settings_reader::from_file(path);
+    sidecar_settings result;
+    result.name = reader.required_string("name");
+    result.service = reader.required_string("service");
+    result.endpoint_address = reader.required_address("endpoint_address");
+    result.failure_domain = reader.required_string("failure_domain");
+    result.heartbeat_interval = read_time(reader, "heartbeat_interval", result.heartbeat_interval);
+    result.callers_address = reader.required_address("callers_address");
+    result.peers_address = reader.required_address("peers_address");
+    result.readiness_address = reader.required_address("readiness_address");
+    result.announcements_address = reader.required_address("announcements_address");
+    constexpr std::int64_t max_port = 65535;
+    const auto port = reader.optional_integer("metrics_port", 0, 0, max_port);
+    if (port != 0) {
+        result.metrics_address = reader.required_string("host") + ":" + std::to_string(port);
+    }
+    result.memory_mb = reader.optional_integer("memory_mb", result.memory_mb, 16, 1'000'000);
+    result.store_address = reader.required_address("store_address");
+    result.drain_time = read_time(reader, "drain_time", result.drain_time);
+    result.stop_grace = read_time(reader, "stop_grace", result.stop_grace);
+    result.retry_ratio = reader.optional_number("retry_ratio", result.retry_ratio, 0.0, 10.0);
+    result.retry_slack = reader.optional_integer("retry_slack", result.retry_slack, 0, 1'000'000);
+    result.retry_window = read_time(reader, "retry_window", result.retry_window);
+    result.exposure_share = reader.optional_number("exposure_share", result.exposure_share, 0.0, 1.0);
+    result.exposure_slack = reader.optional_integer("exposure_slack", result.exposure_slack, 0, 1'000'000);
+    return result;
+}
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar.cpp
@@ -0,0 +1,533 @@
+#include "sidecar/sidecar.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace endive::sidecar {
+namespace {
+
+/// Table of the store with the project's own rows.
+constexpr std::string_view own_table = "endiveledge";
+constexpr std::string_view member_prefix = "member/";
+constexpr std::string_view start_prefix = "move/";
+
+constexpr duration tick_interval = milliseconds{20};
+constexpr duration slow_tick_interval = milliseconds{100};
+/// Loads travel with every reply; apart from that, a change is told at most this often.
+constexpr duration load_interval = milliseconds{200};
+constexpr duration store_patience = milliseconds{3000};
+constexpr duration store_retry = milliseconds{500};
+/// Members are read again this often, for daemons that no other one has told of.
+constexpr duration member_read_interval = std::chrono::seconds{30};
+/// Heartbeats missed in a row after which an endpoint counts as gone.
+constexpr int heartbeats_missed = 4;
+/// Each further daemon waits this much longer before it takes over a duty.
+constexpr duration duty_step = milliseconds{700};
+/// After SIGTERM callers still send new requests until two readiness checks have failed, one a second.
+constexpr duration min_stop_time = milliseconds{2600};
+/// The process ends this long before it would be killed.
+constexpr duration stop_reserve = milliseconds{400};
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_precondition_failed = 412;
+constexpr unsigned status_unavailable = 503;
+
+http_message json_response(unsigned status, const json& body) {
+    http_message response;
+    response.status = status;
+    response.headers.push_back({"Content-Type", "application/json"});
+    response.body = body.dump();
+    return response;
+}
+
+std::uint32_t difference(std::uint32_t a, std::uint32_t b) {
+    return a > b ? a - b : b - a;
+}
+
+} // namespace
+
+sidecar::sidecar(boost::asio::io_context& loop, const clock_source& clock, sidecar_settings settings)
+    : loop_{loop}, clock_{clock}, settings_{std::move(settings)}, local_{loop, clock, counters_, settings_},
+      moves_{settings_}, peers_{loop,
+                                clock,
+                                settings_,
+                                local_,
+                                rows_,
+                                {[this](const mesh::store_row& row) { on_row(row, false); },
+                                 [this](const mesh::member& about) { on_member_news(about); },
+                                 [this](const std::string& daemon, std::int64_t start,
+                                        const std::vector<mesh::version_evidence>& counters) {
+                                     moves_.on_evidence(daemon, start, counters);
+                                 }}},
+      forwarder_{clock, counters_, settings_, local_, peers_, moves_},
+      callers_{loop, clock, settings_.callers_address,
+               [this](const std::shared_ptr<exchange>& request) { forwarder_.handle(request); }},
+      readiness_{loop, clock, settings_.readiness_address,
+                 [this](const std::shared_ptr<exchange>& request) { on_ready_call(request); }},
+      announcements_{loop, clock, settings_.announcements_address,
+                     [this](const std::shared_ptr<exchange>& request) { on_announcement(request); }},
+      orders_{loop, settings_.store_address, std::string{platform_wire::operator_table},
+              [this](const std::vector<mesh::store_row>& rows) {
+                  for (const auto& row : rows) {
+                      on_row(row, true);
+                  }
+              },
+              [this](bool healthy) {
+                  log_event(healthy ? log_level::info : log_level::warning,
+                            healthy ? "store_regained" : "store_lost");
+                  if (healthy) {
+                      next_self_write_ = time_point{};
+                  }
+              }},
+      store_{loop, settings_.store_address}, timer_{loop} {
+    if (!settings_.metrics_address.empty()) {
+        metrics_ = std::make_unique<http_server>(
+            loop, clock, settings_.metrics_address,
+            [this](const std::shared_ptr<exchange>& request) { on_metrics(request); });
+    }
+    self_.daemon = settings_.name;
+    self_.daemon_start_unix_ms = to_unix_ms(clock_.wall_now());
+    self_.address = settings_.peers_address;
+    self_.failure_domain = settings_.failure_domain;
+    self_.service = settings_.service;
+    local_.on_change([this] { publish_self(); });
+}
+
+sidecar::~sidecar() = default;
+
+void sidecar::start() {
+    publish_self();
+    orders_.start();
+    load_table(std::string{own_table}, {}, 0);
+    load_table(std::string{platform_wire::status_table}, {}, 0);
+    tick();
+}
+
+// ---- calls from outside
+// ------------------------------------------------------------------------------------
+
+void sidecar::on_ready_call(const std::shared_ptr<exchange>& request) {
+    const auto& message = request->request();
+    if (platform_wire::parse_call(message.method, message.target).name !=
+        platform_wire::call_name::readiness) {
+        request->respond(own_response(status_not_found, "no such call\n"));
+        return;
+    }
+    const bool ready = routes_ != nullptr && !stopping_since_;
+    request->respond(own_response(ready ? status_ok : status_unavailable, ready ? "ready\n" : "not ready\n"));
+}
+
+void sidecar::on_announcement(const std::shared_ptr<exchange>& request) {
+    const auto& message = request->request();
+    const auto call = platform_wire::parse_call(message.method, message.target);
+    switch (call.name) {
+    case platform_wire::call_name::heartbeat:
+        on_heartbeat(request, call.endpoint_id);
+        return;
+    case platform_wire::call_name::deregister:
+        on_deregister(request, call.endpoint_id);
+        return;
+    case platform_wire::call_name::readiness:
+        on_ready_call(request);
+        return;
+    case platform_wire::call_name::unknown:
+        request->respond(own_response(status_not_found, "no such call\n"));
+        return;
+    }
+}
+
+void sidecar::on_heartbeat(const std::shared_ptr<exchange>& request, const std::string& endpoint_id) {
+    try {
+        const auto beat = platform_wire::decode_heartbeat(endpoint_id, request->request().body);
+        bool accepted = false;
+        local_.update(
+            [&](mesh::endpoint_tracker& tracker) { accepted = tracker.on_heartbeat(beat, clock_.now()); });
+        if (!accepted) {
+            counters_.add("heartbeat_refused");
+            log_event(log_level::info, "heartbeat_refused",
+                      {{"endpoint", endpoint_id},
+                       {"service", beat.service},
+                       {"address", beat.address},
+                       {"sequence", beat.sequence},
+                       {"born", beat.born_unix_ms},
+                       {"current", local_.tracker().current().endpoint_id}});
+        }
+        request->respond(json_response(status_ok, json::object()));
+    } catch (const error& cause) {
+        counters_.add("heartbeat_malformed");
+        log_event(log_level::warning, "heartbeat_malformed",
+                  {{"endpoint", endpoint_id}, {"place", cause.place()}, {"reason", cause.what()}});
+        request->respond(
+            own_response(status_bad_request, std::string{cause.place()} + ": " + cause.what() + "\n"));
+    }
+}
+
+void sidecar::on_deregister(const std::shared_ptr<exchange>& request, const std::string& endpoint_id) {
+    bool known = false;
+    local_.update([&](mesh::endpoint_tracker& tracker) { known = tracker.on_deregister(endpoint_id); });
+    log_event(log_level::info, "endpoint_deregistered", {{"endpoint", endpoint_id}, {"current", known}});
+    request->respond(json_response(status_ok, json::object()));
+}
+
+void sidecar::on_metrics(const std::shared_ptr<exchange>& request) {
+    std::ostringstream out;
+    for (const auto& [name, value] : counters_.values()) {
+        out << "endive_" << name << "_total " << value << "\n";
+    }
+    const auto load = local_.load();
+    out << "endive_endpoint_outstanding " << load.outstanding << "\n";
+    out << "endive_peer_links " << peers_.link_count() << "\n";
+    request->respond(own_response(status_ok, out.str()));
+}
+
+// ---- rows
+// --------------------------------------------------------------------------------------------------
+
+void sidecar::on_row(const mesh::store_row& row, bool from_store) {
+    if (!rows_.apply(row)) {
+        return;
+    }
+    if (from_store) {
+        peers_.spread(row);
+    }
+    try {
+        if (row.table == platform_wire::operator_table) {
+            on_operator_row(row);
+        } else if (row.table == platform_wire::status_table &&
+                   row.key.starts_with(platform_wire::rollout_prefix)) {
+            moves_.on_status(row);
+        } else if (row.table == own_table) {
+            on_own_row(row);
+        }
+    } catch (const error& cause) {
+        counters_.add("row_malformed");
+        log_event(log_level::warning, "row_malformed",
+                  {{"table", row.table},
+                   {"key", row.key},
+                   {"version", row.version},
+                   {"place", cause.place()},
+                   {"reason", cause.what()}});
+    }
+}
+
+void sidecar::on_operator_row(const mesh::store_row& row) {
+    if (row.key == platform_wire::configuration_key) {
+        on_configuration(row);
+    } else if (row.key.starts_with(platform_wire::rollout_prefix)) {
+        moves_.on_order(row, clock_.now());
+        // The start may have been recorded before the order was seen here.
+        const auto* start = rows_.find(own_table, std::string{start_prefix} +
+                                                      row.key.substr(platform_wire::rollout_prefix.size()));
+        if (start != nullptr) {
+            on_own_row(*start);
+        }
+    }
+}
+
+void sidecar::on_configuration(const mesh::store_row& row) {
+    if (row.removed) {
+        log_event(log_level::warning, "configuration_removed", {{"version", row.version}});
+        return;
+    }
+    auto decoded = platform_wire::decode_configuration(row.value);
+    if (routes_ && decoded.version <= routes_->source().version) {
+        log_event(log_level::warning, "configuration_not_newer",
+                  {{"configuration", decoded.version}, {"in_force", routes_->source().version}});
+        return;
+    }
+    const bool first = routes_ == nullptr;
+    routes_ = std::make_shared<const mesh::route_index>(std::move(decoded));
+    callers_.set_limits(routes_->source().limits);
+    forwarder_.set_configuration(routes_);
+    log_event(log_level::info, "configuration_in_force",
+              {{"configuration", routes_->source().version},
+               {"row", row.version},
+               {"routes", routes_->source().routes.size()},
+               {"first", first}});
+}
+
+void sidecar::on_own_row(const mesh::store_row& row) {
+    if (row.removed) {
+        return;
+    }
+    if (row.key.starts_with(member_prefix)) {
+        peers_.learn(mesh::decode_member(row.value));
+        return;
+    }
+    if (row.key.starts_with(start_prefix)) {
+        const auto object = json::parse(row.value, nullptr, false);
+        if (!object.is_object() || !object.contains("order") || !object.contains("started_unix_ms")) {
+            throw error{result_code::platform_bad_answer, "not a move's start", row.key};
+        }
+        moves_.on_start(row.key.substr(start_prefix.size()), object["order"].get<std::uint64_t>(),
+                        from_unix_ms(object["started_unix_ms"].get<std::int64_t>()), clock_.wall_now(),
+                        clock_.now());
+    }
+}
+
+/// News of a member: of this daemon itself it is what an earlier start wrote.
+void sidecar::on_member_news(const mesh::member& about) {
+    if (about.daemon != self_.daemon || about.daemon_start_unix_ms >= self_.daemon_start_unix_ms) {
+        return;
+    }
+    if (about.state == mesh::endpoint_state::draining && !about.endpoint_id.empty()) {
+        local_.update(
+            [&](mesh::endpoint_tracker& tracker) { tracker.on_remembered_departure(about.endpoint_id); });
+    }
+}
+
+void sidecar::load_table(const std::string& table, const std::string& from, std::uint64_t pages) {
+    store_.call(platform_wire::read_rows(table, from), store_patience,
+                [this, table, from, pages](const store_answer& answer) {
+                    bool complete = false;
+                    if (answer.status == status_ok) {
+                        try {
+                            const auto page = platform_wire::decode_rows(answer.body);
+                            for (const auto& row : page.rows) {
+                                on_row(row, true);
+                            }
+                            if (page.has_more && !page.rows.empty()) {
+                                load_table(table, page.rows.back().key + '\x01', pages + 1);
+                                return;
+                            }
+                            complete = true;
+                        } catch (const error& cause) {
+                            log_event(log_level::warning, "store_answer_malformed",
+                                      {{"table", table}, {"place", cause.place()}, {"reason", cause.what()}});
+                        }
+                    }
+                    if (!complete) {
+                        counters_.add("store_read_failed");
+                        auto timer = std::make_shared<boost::asio::steady_timer>(loop_, store_retry);
+                        timer->async_wait([this, timer, table, from, pages](error_code code) {
+                            if (!code) {
+                                load_table(table, from, pages);
+                            }
+                        });
+                        return;
+                    }
+                    (table == own_table ? members_loaded_ : statuses_loaded_) = true;
+                    next_member_read_ = clock_.now() + member_read_interval;
+                });
+}
+
+void sidecar::write(const mesh::store_row& row, std::uint64_t expected, std::function<void(bool)> done) {
+    const platform_wire::row_condition condition{row.table, row.key, expected};
+    store_.call(platform_wire::write_row(&condition, row), store_patience,
+                [this, row, done = std::move(done)](const store_answer& answer) {
+                    bool written = false;
+                    try {
+                        if (answer.status == status_ok) {
+                            auto stored = row;
+                            stored.version = platform_wire::decode_transaction_version(answer.body);
+                            on_row(stored, true);
+                            written = true;
+                        } else if (answer.status == status_precondition_failed) {
+                            for (const auto& current : platform_wire::decode_rows(answer.body).rows) {
+                                on_row(current, true);
+                            }
+                        }
+                    } catch (const error& cause) {
+                        log_event(log_level::warning, "store_answer_malformed",
+                                  {{"table", row.table}, {"place", cause.place()}, {"reason", cause.what()}});
+                    }
+                    if (!written) {
+                        counters_.add("store_write_failed");
+                        log_event(log_level::info, "store_write_failed",
+                                  {{"table", row.table}, {"key", row.key}, {"status", answer.status}});
+                    }
+                    done(written);
+                });
+}
+
+// ---- membership
+// --------------------------------------------------------------------------------------------
+
+void sidecar::publish_self() {
+    const auto& endpoint = local_.tracker().current();
+    ++self_.revision;
+    self_.endpoint_id = endpoint.endpoint_id;
+    self_.version = endpoint.version;
+    self_.slots = endpoint.slots;
+    self_.state = endpoint.state;
+    self_.born_unix_ms = endpoint.born_unix_ms;
+    self_.stopping = stopping_since_.has_value();
+    peers_.set_self(self_);
+    write_self();
+}
+
+/// Keeps this daemon's row: others find it there, and a later start of it learns what its endpoint has said.
+void sidecar::write_self() {
+    const auto now = clock_.now();
+    if (writing_self_ || written_revision_ == self_.revision || now < next_self_write_) {
+        return;
+    }
+    writing_self_ = true;
+    const auto revision = self_.revision;
+    const mesh::store_row row{std::string{own_table}, std::string{member_prefix} + self_.daemon,
+                              mesh::encode(self_), 0};
+    const auto* known = rows_.find(row.table, row.key);
+    write(row, known == nullptr || known->removed ? 0 : known->version, [this, revision](bool written) {
+        writing_self_ = false;
+        if (written) {
+            written_revision_ = revision;
+        } else {
+            next_self_write_ = clock_.now() + store_retry;
+        }
+        write_self();
+    });
+}
+
+std::size_t sidecar::duty_rank(std::string_view duty) const {
+    const auto weight = [&](const std::string& daemon) { return stable_hash(daemon, stable_hash(duty)); };
+    const auto own = weight(self_.daemon);
+    std::size_t rank = 0;
+    auto& peers = const_cast<sidecar*>(this)->peers_.peers();
+    for (const auto& [name, entry] : peers) {
+        if (entry.link && weight(name) < own) {
+            ++rank;
+        }
+    }
+    return rank;
+}
+
+// ---- version moves
+// -----------------------------------------------------------------------------------------
+
+void sidecar::write_due_statuses(time_point now) {
+    const auto old_idle = [this](const std::string& service, const std::string& to) {
+        const bool own_busy =
+            self_.service == service && self_.version != to && local_.load().outstanding > 0;
+        const auto& peers = peers_.peers();
+        return !own_busy && std::none_of(peers.begin(), peers.end(), [&](const auto& item) {
+            const auto& about = item.second.about;
+            return about.service == service && about.version != to && item.second.link &&
+                   item.second.load.outstanding > 0;
+        });
+    };
+    std::vector<std::pair<std::string, std::function<void()>>> duties;
+    for (const auto& due : moves_.due(now, old_idle)) {
+        const auto key = std::string{platform_wire::rollout_prefix} + due.status.service;
+        const auto duty = key + "/" + std::to_string(static_cast<int>(due.status.state));
+        const mesh::store_row row{std::string{platform_wire::status_table}, key,
+                                  platform_wire::encode_rollout_status(due.status), 0};
+        duties.emplace_back(duty, [this, duty, row, expected = due.expected_version] {
+            write(row, expected, [this, duty](bool) { writing_.erase(duty); });
+        });
+    }
+    for (const auto& move : moves_.unrecorded()) {
+        const auto key = std::string{start_prefix} + move.service;
+        const json value{{"order", move.order_version}, {"started_unix_ms", to_unix_ms(clock_.wall_now())}};
+        const mesh::store_row row{std::string{own_table}, key, value.dump(), 0};
+        const auto* known = rows_.find(own_table, key);
+        duties.emplace_back(key, [this, key, row, expected = known == nullptr ? 0 : known->version] {
+            write(row, expected, [this, key](bool) { writing_.erase(key); });
+        });
+    }
+    std::set<std::string> present;
+    for (const auto& [duty, perform] : duties) {
+        present.insert(duty);
+        const auto since = duty_since_.try_emplace(duty, now).first->second;
+        const auto turn = since + duty_step * static_cast<duration::rep>(duty_rank(duty));
+        if (now >= turn && writing_.insert(duty).second) {
+            duty_since_[duty] = now + store_retry;
+            perform();
+        }
+    }
+    std::erase_if(duty_since_, [&](const auto& item) { return !present.contains(item.first); });
+}
+
+// ---- time
+// --------------------------------------------------------------------------------------------------
+
+void sidecar::tick() {
+    const auto now = clock_.now();
+    forwarder_.tick(now);
+    local_.tick(now);
+    if (now >= next_slow_tick_) {
+        next_slow_tick_ = now + slow_tick_interval;
+        slow_tick(now);
+    }
+    if (stopping_since_) {
+        finish_stop(now);
+    }
+    timer_.expires_after(tick_interval);
+    timer_.async_wait([this](error_code code) {
+        if (!code) {
+            tick();
+        }
+    });
+}
+
+void sidecar::slow_tick(time_point now) {
+    peers_.tick(now);
+    callers_.sweep(now);
+    readiness_.sweep(now);
+    announcements_.sweep(now);
+    local_.sweep(now);
+    local_.update([&](mesh::endpoint_tracker& tracker) {
+        if (tracker.expire(now, settings_.heartbeat_interval * heartbeats_missed)) {
+            log_event(log_level::warning, "endpoint_silent", {{"endpoint", tracker.current().endpoint_id}});
+        }
+    });
+    if (routes_) {
+        if (const auto* service = routes_->find_service(settings_.service)) {
+            local_.probe(service->health_path);
+        }
+    }
+    write_self();
+    moves_.on_evidence(self_.daemon, self_.daemon_start_unix_ms, local_.evidence());
+    moves_.advance(now);
+    local_.set_retired(moves_.is_retired(self_.service, self_.version, now));
+    if (members_loaded_ && statuses_loaded_ && !stopping_since_) {
+        write_due_statuses(now);
+    }
+    const auto load = local_.load();
+    const bool load_changed =
+        load.accepting != spread_load_.accepting ||
+        difference(load.outstanding, spread_load_.outstanding) > std::max(2U, load.slots / 4) ||
+        (load.outstanding == 0) != (spread_load_.outstanding == 0);
+    if (load_changed && now >= next_load_) {
+        next_load_ = now + load_interval;
+        spread_load_ = load;
+        peers_.spread_load(load);
+    }
+    if (moves_.any_running() && local_.evidence() != spread_evidence_) {
+        spread_evidence_ = local_.evidence();
+        peers_.spread_evidence(spread_evidence_);
+    }
+    if (members_loaded_ && now >= next_member_read_) {
+        next_member_read_ = now + member_read_interval;
+        load_table(std::string{own_table}, {}, 0);
+    }
+}
+
+void sidecar::stop() {
+    if (stopping_since_) {
+        return;
+    }
+    stopping_since_ = clock_.now();
+    log_event(log_level::info, "stopping",
+              {{"open_requests", forwarder_.open_requests()}, {"open_jobs", local_.open_jobs()}});
+    callers_.start_draining();
+    publish_self();
+}
+
+/// Ends the process when its callers have gone elsewhere and its work is done, or when its time is over.
+void sidecar::finish_stop(time_point now) {
+    const auto elapsed = now - *stopping_since_;
+    const bool idle = forwarder_.open_requests() == 0 && local_.open_jobs() == 0;
+    const bool done = idle && elapsed >= min_stop_time;
+    if (!done && elapsed < settings_.stop_grace - stop_reserve) {
+        return;
+    }
+    log_event(log_level::info, "stopped",
+              {{"elapsed_ms", std::chrono::duration_cast<milliseconds>(elapsed).count()},
+               {"open_requests", forwarder_.open_requests()},
+               {"open_jobs", local_.open_jobs()}});
+    loop_.stop();
+}
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar.h
@@ -0,0 +1,77 @@
+#pragma once
+// The daemon beside one backend server: owns every part and the one event loop.
+
+#include "sidecar/forwarder.h"
+#include "sidecar/store_client.h"
+
+namespace endive::sidecar {
+
+class sidecar {
+public:
+    /// Opens all ports. Throws `error` with a `settings_*` code.
+    sidecar(boost::asio::io_context& loop, const clock_source& clock, sidecar_settings settings);
+    ~sidecar();
+    /// Runs until a stop is complete.
+    void start();
+    /// Takes no new work, finishes what there is and ends the loop.
+    void stop();
+
+private:
+    void on_ready_call(const std::shared_ptr<exchange>& request);
+    void on_announcement(const std::shared_ptr<exchange>& request);
+    void on_heartbeat(const std::shared_ptr<exchange>& request, const std::string& endpoint_id);
+    void on_deregister(const std::shared_ptr<exchange>& request, const std::string& endpoint_id);
+    void on_metrics(const std::shared_ptr<exchange>& request);
+    void on_row(const mesh::store_row& row, bool from_store);
+    void on_operator_row(const mesh::store_row& row);
+    void on_own_row(const mesh::store_row& row);
+    void on_member_news(const mesh::member& about);
+    void on_configuration(const mesh::store_row& row);
+    void publish_self();
+    void write_self();
+    void write_due_statuses(time_point now);
+    void write(const mesh::store_row& row, std::uint64_t expected, std::function<void(bool written)> done);
+    void load_table(const std::string& table, const std::string& from, std::uint64_t pages);
+    void tick();
+    void slow_tick(time_point now);
+    void finish_stop(time_point now);
+    /// Position of this daemon among the live ones for a duty; 0 goes first.
+    [[nodiscard]] std::size_t duty_rank(std::string_view duty) const;
+
+    boost::asio::io_context& loop_;
+    const clock_source& clock_;
+    sidecar_settings settings_;
+    counter_set counters_;
+    latency_histogram latency_;
+    mesh::row_replica rows_;
+    endpoint_service local_;
+    rollouts moves_;
+    peer_set peers_;
+    forwarder forwarder_;
+    http_server callers_;
+    http_server readiness_;
+    http_server announcements_;
+    std::unique_ptr<http_server> metrics_;
+    table_follower orders_;
+    store_connection store_;
+    boost::asio::steady_timer timer_;
+    std::shared_ptr<const mesh::route_index> routes_;
+    mesh::member self_;
+    std::uint64_t configuration_row_version_ = 0;
+    std::uint64_t written_revision_ = 0; ///< of `self_`, in the store
+    std::uint64_t self_row_version_ = 0;
+    bool members_loaded_ = false;
+    bool statuses_loaded_ = false;
+    bool writing_self_ = false;
+    time_point next_self_write_{};
+    time_point next_member_read_{};
+    std::set<std::string> writing_; ///< keys with a write under way
+    std::map<std::string, time_point> duty_since_;
+    mesh::endpoint_load spread_load_;
+    time_point next_slow_tick_{};
+    time_point next_load_{};
+    std::optional<time_point> stopping_since_;
+    std::vector<mesh::version_evidence> spread_evidence_;
+};
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/store_client.cpp
@@ -0,0 +1,230 @@
+#include "sidecar/store_client.h"
+
+#include <algorithm>
+
+namespace endive::sidecar {
+namespace {
+
+constexpr duration connect_patience = milliseconds{1000};
+/// Longest wait of one watch at the store. Each return is a priced call; peers tell of changes that a silent
+/// connection would hide meanwhile.
+constexpr milliseconds watch_wait{20000};
+/// A watch that answers this much later than its wait has gone silent.
+constexpr duration watch_slack = milliseconds{1500};
+/// The store answers reads in 4 ms; on slow days it takes up to a hundred times as long.
+constexpr duration read_patience = milliseconds{3000};
+constexpr duration min_retry_pause = milliseconds{150};
+/// An outage ends unannounced and entries have to be back two seconds later.
+constexpr duration max_retry_pause = milliseconds{700};
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_gone = 410;
+
+} // namespace
+
+store_connection::store_connection(boost::asio::io_context& loop, std::string_view address)
+    : loop_{loop}, host_{address}, address_{to_endpoint(address)}, timer_{loop} {}
+
+void store_connection::call(platform_wire::store_call call, duration patience, store_done done) {
+    queue_.push_back({std::move(call), patience, std::move(done)});
+    next();
+}
+
+void store_connection::next() {
+    if (closed_ || current_ || queue_.empty()) {
+        return;
+    }
+    current_ = std::move(queue_.front());
+    queue_.pop_front();
+    const auto generation = ++generation_;
+    timer_.expires_after(current_->patience);
+    timer_.async_wait([this, generation](error_code code) {
+        if (!code && !closed_ && current_ && generation == generation_) {
+            finish({}, false);
+        }
+    });
+    if (connection_ && connection_->is_open()) {
+        send_current();
+        return;
+    }
+    connect_stream(loop_, address_, connect_patience, [this, generation](std::shared_ptr<stream> connection) {
+        const bool wanted = !closed_ && current_ && generation == generation_;
+        if (!wanted) {
+            if (connection) {
+                connection->close();
+            }
+            return;
+        }
+        if (!connection) {
+            finish({}, false);
+            return;
+        }
+        connection_ = std::move(connection);
+        input_.clear();
+        reader_.reset();
+        connection_->start(
+            [this, via = connection_.get()](std::string_view bytes) {
+                if (via == connection_.get()) {
+                    on_data(bytes);
+                }
+            },
+            [this, via = connection_.get()](stream_end) {
+                if (via == connection_.get() && !closed_ && current_) {
+                    finish({}, false);
+                }
+            });
+        send_current();
+    });
+}
+
+void store_connection::send_current() {
+    http_message request;
+    request.method = current_->call.method;
+    request.target = current_->call.target;
+    request.headers.push_back({"Host", host_});
+    request.body = current_->call.body;
+    if (!request.body.empty()) {
+        request.headers.push_back({"Content-Type", "application/json"});
+    }
+    connection_->send(serialize_request_head(request) + request.body);
+}
+
+void store_connection::on_data(std::string_view bytes) {
+    if (!current_) {
+        connection_->close(); // bytes that answer nothing
+        return;
+    }
+    input_.append(bytes);
+    if (!reader_) {
+        reader_ = std::make_unique<response_reader>(read_limits{}, false);
+    }
+    const auto status = reader_->feed(input_);
+    if (status == read_status::need_more) {
+        return;
+    }
+    if (status != read_status::complete) {
+        finish({}, false);
+        return;
+    }
+    auto response = std::move(reader_->message());
+    finish({response.status, std::move(response.body)}, response.keep_alive && input_.empty());
+}
+
+void store_connection::finish(store_answer answer, bool reusable) {
+    timer_.cancel();
+    reader_.reset();
+    auto done = std::move(current_->done);
+    current_.reset();
+    if (!reusable && connection_) {
+        connection_->close();
+        connection_.reset();
+    }
+    done(std::move(answer));
+    next();
+}
+
+void store_connection::close() {
+    closed_ = true;
+    timer_.cancel();
+    if (connection_) {
+        connection_->close();
+    }
+}
+
+table_follower::table_follower(boost::asio::io_context& loop, std::string_view store, std::string table,
+                               std::function<void(const std::vector<mesh::store_row>&)> on_rows,
+                               std::function<void(bool)> on_health)
+    : connection_{loop, store}, pause_{loop}, table_{std::move(table)}, on_rows_{std::move(on_rows)},
+      on_health_{std::move(on_health)} {}
+
+void table_follower::close() {
+    closed_ = true;
+    pause_.cancel();
+    connection_.close();
+}
+
+void table_follower::set_health(bool healthy) {
+    if (healthy_ != healthy) {
+        healthy_ = healthy;
+        on_health_(healthy);
+    }
+    if (healthy) {
+        retry_pause_ = duration{0};
+    }
+}
+
+void table_follower::retry(std::function<void()> step) {
+    set_health(false);
+    retry_pause_ = std::clamp(retry_pause_ * 2, min_retry_pause, max_retry_pause);
+    pause_.expires_after(retry_pause_);
+    pause_.async_wait([this, step = std::move(step)](error_code code) {
+        if (!code && !closed_) {
+            step();
+        }
+    });
+}
+
+void table_follower::read(const std::string& from) {
+    connection_.call(
+        platform_wire::read_rows(table_, from), read_patience, [this, from](const store_answer& answer) {
+            if (closed_) {
+                return;
+            }
+            if (answer.status != status_ok) {
+                retry([this, from] { read(from); });
+                return;
+            }
+            try {
+                const auto page = platform_wire::decode_rows(answer.body);
+                set_health(true);
+                // Changes after the first page are read again by the watch.
+                if (!first_page_version_) {
+                    first_page_version_ = page.version;
+                }
+                on_rows_(page.rows);
+                if (page.has_more && !page.rows.empty()) {
+                    read(page.rows.back().key + '\x01');
+                    return;
+                }
+                version_ = *std::exchange(first_page_version_, std::nullopt);
+                loaded_ = true;
+                watch();
+            } catch (const error& cause) {
+                log_event(log_level::warning, "store_answer_malformed",
+                          {{"table", table_}, {"place", cause.place()}, {"reason", cause.what()}});
+                retry([this, from] { read(from); });
+            }
+        });
+}
+
+void table_follower::watch() {
+    connection_.call(
+        platform_wire::watch_rows(table_, version_, watch_wait), watch_wait + watch_slack,
+        [this](const store_answer& answer) {
+            if (closed_) {
+                return;
+            }
+            if (answer.status == status_gone) {
+                log_event(log_level::info, "store_history_gone", {{"table", table_}, {"after", version_}});
+                read({});
+                return;
+            }
+            if (answer.status != status_ok) {
+                retry([this] { watch(); });
+                return;
+            }
+            try {
+                const auto page = platform_wire::decode_rows(answer.body);
+                set_health(true);
+                version_ = std::max(version_, page.version);
+                on_rows_(page.rows);
+                watch();
+            } catch (const error& cause) {
+                log_event(log_level::warning, "store_answer_malformed",
+                          {{"table", table_}, {"place", cause.place()}, {"reason", cause.what()}});
+                retry([this] { read({}); });
+            }
+        });
+}
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/stream.cpp
@@ -0,0 +1,214 @@
+#include "sidecar/stream.h"
+
+#include "endive/base.h"
+
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <netinet/tcp.h>
+
+namespace endive::sidecar {
+namespace {
+
+constexpr std::size_t read_buffer_bytes = 64UL * 1024;
+/// Buffers handed to the kernel in one call.
+constexpr std::size_t max_write_buffers = 16;
+/// A connection whose bytes stay unacknowledged this long is broken: it bounds how long a silent one holds
+/// what was sent on it.
+constexpr unsigned unacknowledged_ms = 5000;
+
+/// One event loop thread uses it, never across two events.
+std::array<char, read_buffer_bytes>& read_buffer() {
+    static std::array<char, read_buffer_bytes> buffer;
+    return buffer;
+}
+
+} // namespace
+
+stream::stream(tcp::socket socket) : socket_{std::move(socket)} {
+    error_code ignored; // a socket that already failed reports it on its first read
+    socket_.non_blocking(true, ignored);
+    socket_.set_option(tcp::no_delay{true}, ignored);
+    const unsigned timeout = unacknowledged_ms;
+    (void)::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
+void stream::start(std::function<void(std::string_view)> on_data, std::function<void(stream_end)> on_end) {
+    on_data_ = std::move(on_data);
+    on_end_ = std::move(on_end);
+    wait_readable();
+}
+
+void stream::resume() {
+    paused_ = false;
+    wait_readable();
+}
+
+void stream::wait_readable() {
+    if (!open_ || paused_ || waiting_) {
+        return;
+    }
+    waiting_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code code) {
+        self->waiting_ = false;
+        if (!self->open_) {
+            return;
+        }
+        if (code) {
+            self->end(stream_end::failed);
+            return;
+        }
+        self->on_readable();
+    });
+}
+
+void stream::on_readable() {
+    if (paused_) {
+        return;
+    }
+    error_code code;
+    auto& buffer = read_buffer();
+    const auto size = socket_.read_some(boost::asio::buffer(buffer), code);
+    if (code == boost::asio::error::would_block) {
+        wait_readable();
+        return;
+    }
+    if (code) {
+        end(code == boost::asio::error::eof ? stream_end::clean : stream_end::failed);
+        return;
+    }
+    if (on_data_) {
+        const auto handler = on_data_; // `close` inside the handler drops the member
+        handler({buffer.data(), size});
+    }
+    wait_readable();
+}
+
+void stream::send(std::string bytes) {
+    send(std::make_shared<const std::string>(std::move(bytes)));
+}
+
+void stream::send(std::shared_ptr<const std::string> bytes) {
+    if (!open_ || write_failed_ || bytes->empty()) {
+        return;
+    }
+    queued_bytes_ += bytes->size();
+    queue_.push_back(std::move(bytes));
+    write_next();
+}
+
+void stream::write_next() {
+    if (writing_ || !open_ || write_failed_) {
+        return;
+    }
+    if (queue_.empty()) {
+        if (finish_after_write_) {
+            error_code ignored; // the peer may have gone already
+            socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        return;
+    }
+    std::vector<boost::asio::const_buffer> buffers;
+    for (const auto& bytes : queue_) {
+        if (buffers.size() == max_write_buffers) {
+            break;
+        }
+        buffers.push_back(boost::asio::buffer(*bytes));
+    }
+    const auto count = buffers.size();
+    writing_ = true;
+    boost::asio::async_write(socket_, buffers,
+                             [self = shared_from_this(), count](error_code code, std::size_t) {
+                                 self->writing_ = false;
+                                 if (!self->open_) {
+                                     return;
+                                 }
+                                 if (code) {
+                                     // What the other side sent before it stopped reading is still to be
+                                     // read; reading finds the end.
+                                     self->queue_.clear();
+                                     self->queued_bytes_ = 0;
+                                     self->write_failed_ = true;
+                                     return;
+                                 }
+                                 for (std::size_t i = 0; i < count; ++i) {
+                                     self->queued_bytes_ -= self->queue_.front()->size();
+                                     self->queue_.pop_front();
+                                 }
+                                 self->write_next();
+                             });
+}
+
+void stream::finish_sending() {
+    finish_after_write_ = true;
+    write_next();
+}
+
+void stream::end(stream_end how) {
+    const auto self = shared_from_this(); // `on_end_` may hold the last other reference
+    const auto handler = on_end_;
+    close();
+    if (handler) {
+        handler(how);
+    }
+}
+
+void stream::close() {
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    error_code ignored; // nothing can be done about a failing close
+    socket_.close(ignored);
+    // The handlers may be running and often hold their owner.
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->on_data_ = nullptr;
+        self->on_end_ = nullptr;
+        if (!self->writing_) {
+            self->queue_.clear();
+        }
+    });
+}
+
+void connect_stream(boost::asio::io_context& loop, const tcp::endpoint& address,
+                    std::chrono::nanoseconds patience, std::function<void(std::shared_ptr<stream>)> done) {
+    struct attempt {
+        tcp::socket socket;
+        boost::asio::steady_timer timer;
+        std::function<void(std::shared_ptr<stream>)> done;
+        bool finished = false;
+    };
+    auto state = std::make_shared<attempt>(
+        attempt{tcp::socket{loop}, boost::asio::steady_timer{loop, patience}, std::move(done)});
+    state->socket.async_connect(address, [state](error_code code) {
+        if (state->finished) {
+            return;
+        }
+        state->finished = true;
+        state->timer.cancel();
+        state->done(code ? nullptr : std::make_shared<stream>(std::move(state->socket)));
+    });
+    state->timer.async_wait([state](error_code code) {
+        if (code || state->finished) {
+            return;
+        }
+        state->finished = true;
+        error_code ignored; // the attempt is given up
+        state->socket.close(ignored);
+        state->done(nullptr);
+    });
+}
+
+tcp::endpoint to_endpoint(std::string_view address) {
+    const auto parsed = parse_address(address);
+    error_code code;
+    const auto host =
+        parsed ? boost::asio::ip::make_address_v4(parsed->host, code) : boost::asio::ip::address_v4{};
+    if (!parsed || code) {
+        throw error{result_code::settings_bad_address,
+                    "not an IPv4 address and port: " + std::string{address}};
+    }
+    return {host, parsed->port};
+}
+
+} // namespace endive::sidecar
--- /dev/null
+++ b/src/sidecar/stream.h
@@ -0,0 +1,73 @@
+#pragma once
+// A TCP connection on the event loop: reads into a buffer shared by all connections, so that idle ones cost
+// no memory, and writes in order.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace endive::sidecar {
+
+using tcp = boost::asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+/// How a connection ended, as the reader sees it.
+enum class stream_end : std::uint8_t { clean, failed };
+
+/// Not thread safe; the event loop owns it. Handlers are not called after `close`.
+class stream : public std::enable_shared_from_this<stream> {
+public:
+    explicit stream(tcp::socket socket);
+    stream(const stream&) = delete;
+    stream& operator=(const stream&) = delete;
+
+    /// Starts reading. `on_data` gets what arrived; `on_end` is called once, when the other side has ended
+    /// the connection or it failed.
+    void start(std::function<void(std::string_view)> on_data, std::function<void(stream_end)> on_end);
+    /// Stops reading until `resume`; the other side is slowed down by its full window.
+    void pause() { paused_ = true; }
+    void resume();
+    /// Sends `bytes` after everything sent before.
+    void send(std::string bytes);
+    void send(std::shared_ptr<const std::string> bytes);
+    [[nodiscard]] bool sending() const { return !queue_.empty(); }
+    [[nodiscard]] std::size_t queued_bytes() const { return queued_bytes_; }
+    /// Ends the sending side after all bytes queued and closes when the other side has ended too, or at
+    /// `close`.
+    void finish_sending();
+    void close();
+    [[nodiscard]] bool is_open() const { return open_; }
+
+private:
+    void wait_readable();
+    void on_readable();
+    void write_next();
+    void end(stream_end how);
+
+    tcp::socket socket_;
+    std::function<void(std::string_view)> on_data_;
+    std::function<void(stream_end)> on_end_;
+    std::deque<std::shared_ptr<const std::string>> queue_;
+    std::size_t queued_bytes_ = 0;
+    bool open_ = true;
+    bool paused_ = false;
+    bool waiting_ = false;
+    bool writing_ = false;
+    bool finish_after_write_ = false;
+    bool write_failed_ = false;
+};
+
+/// Connects to `address`; gives null when it fails or takes longer than `patience`.
+void connect_stream(boost::asio::io_context& loop, const tcp::endpoint& address,
+                    std::chrono::nanoseconds patience, std::function<void(std::shared_ptr<stream>)> done);
+
+/// Parses `a.b.c.d:port`. Throws `error` with `settings_bad_address`.
+[[nodiscard]] tcp::endpoint to_endpoint(std::string_view address);
+
+} // namespace endive::sidecar
--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -132,7 +132,7 @@
         for (const auto& content : contents) {
             stream += encode_frame(content);
         }
-        frame_decoder decoder;
+        frame_decoder decoder{config::max_frame_bytes};
         std::vector<frame_content> decoded;
         for (std::size_t at = 0; at < stream.size();) {
             const auto step = std::min<std::size_t>(1 + random.below(200), stream.size() - at);
@@ -177,10 +177,10 @@
 }
 
 TEST_CASE("frames of a wrong length are refused before they are read") {
-    frame_decoder empty;
+    frame_decoder empty{config::max_frame_bytes};
     empty.feed(std::string(4, '\0'));
     REQUIRE_THROWS_AS(empty.next(), error);
-    frame_decoder large;
+    frame_decoder large{config::max_frame_bytes};
     large.feed("\xff\xff\xff\x7f");
     REQUIRE_THROWS_AS(large.next(), error);
     const relay_message body = relay_request{1, {}, std::string(config::max_frame_bytes, 'x'), true};
