Handle pipelined requests at once, choose the domain by risk, refuse near the end of a stop

Change: concurrent handling of repeatable pipelined requests with responses in order; choice by the probability of a late answer plus the weight of a crossing; requests that may outlast the process are refused.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -233,10 +233,13 @@
     friend auto operator<=>(const choice_request&, const choice_request&) = default;
 };
 
-/// Expected time until an endpoint's answer, with the price of a domain crossing as extra time.
+/// Expected time until an endpoint's answer.
 [[nodiscard]] duration expected_time(const candidate& option, const choice_request& request);
 
-/// Index of the endpoint with the least expected time among random pairs of the best; empty without
+/// Cost of a choice: the probability of a late answer, plus what a crossing to another failure domain weighs.
+[[nodiscard]] double choice_cost(const candidate& option, const choice_request& request);
+
+/// Index of an endpoint with the least cost, drawn among those that cost about the same; empty without
 /// candidates.
 [[nodiscard]] std::optional<std::size_t> choose_endpoint(std::span<const candidate> candidates,
                                                          const choice_request& request, std::uint64_t random);
--- a/src/mesh/choice.cpp
+++ b/src/mesh/choice.cpp
@@ -1,25 +1,42 @@
 #include "endive/mesh.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numbers>
 
 namespace endive::mesh {
 namespace {
 
 /// Time relative to the latency target that an endpoint is expected to need before its first response.
 constexpr double initial_slowness = 0.35;
-/// Expected times are equal when they differ by less than this share; the draw spreads load between them.
-constexpr double tie_share = 0.1;
+/// Costs are equal when they differ by less than this; the draw spreads load between them.
+constexpr double tie_cost = 0.01;
 /// A place at another daemon costs a round trip in the domain and two passes through event loops.
-constexpr duration remote_cost = std::chrono::microseconds{600};
-/// A place in another failure domain costs a longer round trip and priced bytes.
-constexpr duration domain_cost = milliseconds{4};
-/// Priced bytes of a request body as extra time: 60 KB weigh as much as 60 ms of waiting.
-constexpr duration domain_cost_per_byte = std::chrono::microseconds{1};
+constexpr duration remote_time = std::chrono::microseconds{600};
+constexpr duration domain_time = milliseconds{2};
+/// Cost of a crossing to another failure domain, as a probability of being late that is accepted instead:
+/// bytes between domains are paid for.
+constexpr double domain_cost = 0.15;
+/// The same for each byte of the request's body: 60 KB weigh as much as a late answer.
+constexpr double domain_cost_per_byte = 1.0 / (60.0 * 1024);
 /// Extra time for each failure in a row, so that a failing endpoint is tried when the others are busy.
-constexpr duration failure_cost = milliseconds{150};
+constexpr duration failure_time = milliseconds{150};
 constexpr std::uint32_t max_counted_failures = 8;
 /// Endpoints slow down as they fill; at full load by about this share.
 constexpr double fill_slowdown = 0.6;
+/// Work times spread log-normally; this is the spread of their logarithm.
+constexpr double work_spread = 0.5;
+/// Weight of the time itself beside the risk of being late: of two places without risk the faster is better.
+constexpr double time_weight = 0.05;
+
+/// Probability that a request with this expected time misses its target.
+double late_probability(double expected_share) {
+    if (expected_share <= 0) {
+        return 0;
+    }
+    const double deviations = (std::log(expected_share) + work_spread * work_spread / 2) / work_spread;
+    return 0.5 * std::erfc(-deviations / std::numbers::sqrt2);
+}
 
 } // namespace
 
@@ -36,12 +53,19 @@
                              : run;
     auto total = std::chrono::duration_cast<duration>(run + typical * (ahead / slots));
     if (!option.local) {
-        total += remote_cost;
+        total += option.same_domain ? remote_time : remote_time + domain_time;
     }
+    return total + failure_time * std::min(option.failures, max_counted_failures);
+}
+
+double choice_cost(const candidate& option, const choice_request& request) {
+    const double target = std::max(1.0, static_cast<double>(request.latency_target.count()));
+    const double share = static_cast<double>(expected_time(option, request).count()) / target;
+    double cost = late_probability(share) + time_weight * share;
     if (!option.local && !option.same_domain) {
-        total += domain_cost + domain_cost_per_byte * request.body_bytes;
+        cost += domain_cost + domain_cost_per_byte * static_cast<double>(request.body_bytes);
     }
-    return total + failure_cost * std::min(option.failures, max_counted_failures);
+    return cost;
 }
 
 std::optional<std::size_t> choose_endpoint(std::span<const candidate> candidates,
@@ -49,17 +73,15 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
-    std::vector<duration> times;
-    times.reserve(candidates.size());
+    std::vector<double> costs;
+    costs.reserve(candidates.size());
     for (const auto& option : candidates) {
-        times.push_back(expected_time(option, request));
+        costs.push_back(choice_cost(option, request));
     }
-    const auto least = *std::min_element(times.begin(), times.end());
-    const auto limit = least + std::chrono::duration_cast<duration>(
-                                   std::chrono::duration<double, std::nano>(least) * tie_share);
+    const double limit = *std::min_element(costs.begin(), costs.end()) + tie_cost;
     std::vector<std::size_t> best;
-    for (std::size_t i = 0; i < times.size(); ++i) {
-        if (times[i] <= limit) {
+    for (std::size_t i = 0; i < costs.size(); ++i) {
+        if (costs[i] <= limit) {
             best.push_back(i);
         }
     }
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -21,6 +21,9 @@
 constexpr std::uint32_t max_refusals = 4;
 /// Part of the shared retry budget that is left unused: calls of repeated requests count as repeats too.
 constexpr double budget_reserve = 0.5;
+/// Callers learn within two readiness checks that a daemon stops; requests that come until then are served
+/// whatever their deadline.
+constexpr duration full_service_after_stop = milliseconds{2500};
 /// Requests without a deadline header wait at most this long.
 constexpr milliseconds default_deadline{30000};
 
@@ -119,6 +122,10 @@
     const auto told = parse_milliseconds(find_header(request.headers, platform_wire::remaining_time_header));
     const auto allowed = std::min(told.value_or(default_deadline), item->route->timeout);
     item->deadline = item->arrived + allowed;
+    if (stop_ && item->arrived - stop_->begin > full_service_after_stop && item->deadline > stop_->end) {
+        refuse(item, mesh::reason::draining, retry_without_endpoint);
+        return;
+    }
     item->service = item->route->parts[splits_.choose(*item->route)].service;
     item->headers = forwarded_headers(request.headers, settings_.service);
     item->version = moves_.choose(item->service);
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -13,7 +13,8 @@
     forwarder(const clock_source& clock, counter_set& counters, const sidecar_settings& settings,
               endpoint_service& local, peer_set& peers, rollouts& moves);
     void set_configuration(std::shared_ptr<const mesh::route_index> routes) { routes_ = std::move(routes); }
-    /// The membership has been read, so that endpoints are known.
+    /// The process ends at `end`: requests that may last longer are refused, except shortly after the stop.
+    void set_end(time_point stop, time_point end) { stop_ = {stop, end}; }
     void handle(const std::shared_ptr<exchange>& request);
     /// Ends requests whose time is over. Call every few tens of milliseconds.
     void tick(time_point now);
@@ -47,6 +48,11 @@
     std::uint64_t random_ = 0x9e3779b97f4a7c15ULL;
     std::map<std::string, mesh::retry_share> shares_;
     std::set<std::shared_ptr<flight>> open_;
+    struct stop_times {
+        time_point begin;
+        time_point end;
+    };
+    std::optional<stop_times> stop_;
 };
 
 } // namespace endive::sidecar
--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -13,11 +13,22 @@
 /// Header timers run this much longer than the limit, so that a caller at the limit is never cut.
 constexpr duration limit_slack = milliseconds{500};
 
+/// Requests of one connection that are handled at the same time.
+constexpr std::size_t max_concurrent_requests = 8;
+/// While the daemon stops, a connection that is idle for this long is closed, so that its caller's next
+/// request does not begin shortly before the end.
+constexpr duration draining_idle_time = milliseconds{300};
+
 constexpr unsigned status_request_timeout = 408;
 
+bool is_repeatable(std::string_view method) {
+    return method == "GET" || method == "HEAD";
+}
+
 } // namespace
 
-/// One connection of a caller.
+/// One connection of a caller. Requests that can be repeated are handled while earlier ones still run;
+/// responses go out in order of arrival.
 class http_session : public std::enable_shared_from_this<http_session> {
 public:
     http_session(http_server& server, std::shared_ptr<stream> connection)
@@ -28,32 +39,14 @@
                            [self = shared_from_this()](stream_end) { self->on_end(); });
     }
 
-    void respond(http_message response) {
-        if (current_ == nullptr) {
-            return;
-        }
-        const bool head = current_->request().method == "HEAD";
-        const bool close = !keep_alive_ || server_ == nullptr || server_->draining_;
-        current_.reset();
-        std::string bytes = serialize_response_head(response, close);
-        constexpr std::size_t max_joined_bytes = 16UL * 1024;
-        if (!head && response.body.size() <= max_joined_bytes) {
-            bytes += response.body;
-            connection_->send(std::move(bytes));
-        } else {
-            connection_->send(std::move(bytes));
-            if (!head) {
-                connection_->send(std::move(response.body));
-            }
-        }
-        if (close) {
-            end_after_response();
+    void respond(const exchange* which, http_message response) {
+        const auto found = std::find_if(pending_.begin(), pending_.end(),
+                                        [&](const pending& entry) { return entry.from.get() == which; });
+        if (found == pending_.end()) {
             return;
         }
-        since_ = server_->clock_.now();
-        reader_.reset();
-        connection_->resume();
-        parse();
+        found->response = std::move(response);
+        flush();
     }
 
     void sweep(time_point now) {
@@ -64,11 +57,12 @@
             }
             return;
         }
-        if (current_ != nullptr) {
+        if (!pending_.empty()) {
             return;
         }
         const bool partial = reader_ && reader_->started();
-        if (!partial && now - since_ > limits.idle_timeout + limit_slack) {
+        const auto patience = server_->draining_ ? draining_idle_time : limits.idle_timeout + limit_slack;
+        if (!partial && now - since_ > patience) {
             drop();
         } else if (partial && !reader_->has_header() && now - since_ > limits.header_timeout + limit_slack) {
             reject(status_request_timeout, "the header took too long");
@@ -78,14 +72,19 @@
     void drop() {
         const auto self = shared_from_this();
         connection_->close();
-        abandon_current();
+        abandon_all();
         forget();
     }
 
-    [[nodiscard]] bool busy() const { return current_ != nullptr; }
+    [[nodiscard]] std::size_t open_exchanges() const { return pending_.size(); }
     void detach() { server_ = nullptr; }
 
 private:
+    struct pending {
+        std::shared_ptr<exchange> from;
+        std::optional<http_message> response;
+    };
+
     void on_data(std::string_view bytes) {
         if (closing_ || server_ == nullptr) {
             return;
@@ -95,17 +94,25 @@
     }
 
     void on_end() {
-        abandon_current();
+        abandon_all();
         forget();
     }
 
-    /// Reads the next request when the last one is answered.
+    /// True when another request may be handled beside the ones that still run.
+    [[nodiscard]] bool may_take() const {
+        if (pending_.empty()) {
+            return true;
+        }
+        return pending_.size() < max_concurrent_requests && pending_.back().from->request().keep_alive &&
+               is_repeatable(pending_.back().from->request().method);
+    }
+
     void parse() {
         if (parsing_) {
             return;
         }
         parsing_ = true;
-        while (server_ != nullptr && current_ == nullptr && !closing_ && !input_.empty()) {
+        while (server_ != nullptr && !closing_ && !input_.empty() && may_take() && !held_) {
             if (!reader_) {
                 reader_ = std::make_unique<request_reader>(
                     read_limits{server_->limits_.header_bytes, server_->limits_.body_bytes}, false);
@@ -116,16 +123,27 @@
                 answer_expectation();
                 break;
             }
-            take(status);
+            held_ = status;
+            take_held();
         }
         parsing_ = false;
-        if (current_ != nullptr && input_.size() > max_pipelined_bytes) {
+        if (!pending_.empty() && input_.size() > max_pipelined_bytes) {
             connection_->pause();
         }
     }
 
+    /// A request that cannot be repeated waits until the ones before it are answered.
+    void take_held() {
+        if (!held_ || (!pending_.empty() &&
+                       (*held_ != read_status::complete || !is_repeatable(reader_->message().method)))) {
+            return;
+        }
+        take(*std::exchange(held_, std::nullopt));
+    }
+
     void answer_expectation() {
-        if (reader_->has_header() && reader_->message().expects_continue && !continued_) {
+        const bool asked = reader_->has_header() && reader_->message().expects_continue;
+        if (asked && !continued_ && pending_.empty()) {
             continued_ = true;
             connection_->send(std::string{"HTTP/1.1 100 Continue\r\n\r\n"});
         }
@@ -139,15 +157,50 @@
         } else if (status == read_status::malformed) {
             reject(400, "not a valid HTTP/1.1 request");
         } else {
-            keep_alive_ = reader_->message().keep_alive;
             continued_ = false;
-            current_ = std::make_shared<exchange>(weak_from_this(), std::move(reader_->message()),
-                                                  server_->clock_.now());
-            const auto started = current_;
+            auto started = std::make_shared<exchange>(weak_from_this(), std::move(reader_->message()),
+                                                      server_->clock_.now());
+            reader_.reset();
+            pending_.push_back({started, std::nullopt});
             server_->handler_(started);
         }
     }
 
+    /// Sends the responses whose turn has come.
+    void flush() {
+        while (!pending_.empty() && pending_.front().response && !closing_) {
+            const auto entry = std::move(pending_.front());
+            pending_.pop_front();
+            const bool last = pending_.empty();
+            const bool draining = server_ == nullptr || server_->draining_;
+            const bool close = !entry.from->request().keep_alive || (draining && last);
+            send(entry, close);
+            if (close) {
+                end_after_response();
+                return;
+            }
+        }
+        if (server_ == nullptr) {
+            return;
+        }
+        since_ = server_->clock_.now();
+        connection_->resume();
+        if (!parsing_) {
+            take_held();
+            parse();
+        }
+    }
+
+    void send(const pending& entry, bool close) {
+        const bool head = entry.from->request().method == "HEAD";
+        const auto& response = *entry.response;
+        std::string bytes = serialize_response_head(response, close);
+        if (!head) {
+            bytes += response.body;
+        }
+        connection_->send(std::move(bytes));
+    }
+
     void reject(unsigned status, std::string why) {
         const auto response = own_response(status, std::move(why));
         connection_->send(serialize_response_head(response, true) + response.body);
@@ -157,14 +210,14 @@
     void end_after_response() {
         closing_ = true;
         since_ = server_ == nullptr ? since_ : server_->clock_.now();
+        abandon_all();
         connection_->finish_sending();
         connection_->resume();
     }
 
-    void abandon_current() {
-        if (current_ != nullptr) {
-            const auto abandoned = std::exchange(current_, nullptr);
-            abandoned->abandon();
+    void abandon_all() {
+        for (const auto& entry : std::exchange(pending_, {})) {
+            entry.from->abandon();
         }
     }
 
@@ -179,9 +232,9 @@
     std::shared_ptr<stream> connection_;
     std::string input_;
     std::unique_ptr<request_reader> reader_;
-    std::shared_ptr<exchange> current_;
-    time_point since_; ///< of the idle time, the header or the closing
-    bool keep_alive_ = true;
+    std::optional<read_status> held_; ///< a request was read and waits for its turn
+    std::deque<pending> pending_;     ///< in order of arrival
+    time_point since_;                ///< of the idle time, the header or the closing
     bool closing_ = false;
     bool parsing_ = false;
     bool continued_ = false;
@@ -194,7 +247,7 @@
     finished_ = true;
     abandoned_ = nullptr;
     if (const auto session = session_.lock()) {
-        session->respond(std::move(response));
+        session->respond(this, std::move(response));
     }
 }
 
@@ -253,8 +306,11 @@
 }
 
 std::size_t http_server::open_exchanges() const {
-    return static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(),
-                                                  [](const auto& session) { return session->busy(); }));
+    std::size_t count = 0;
+    for (const auto& session : sessions_) {
+        count += session->open_exchanges();
+    }
+    return count;
 }
 
 void http_server::close() {
