Gossip that does not grow with the square of the fleet

Change: a greeting names only its sender; rows are compared with two other daemons at a time and fetched once; three daemons judge a version move and tell the rest; loads go to the daemons of the same domain; bytes are counted by kind and summed up in the log.

--- a/include/endive/base.h
+++ b/include/endive/base.h
@@ -156,8 +156,7 @@
     std::unique_ptr<state> state_;
 };
 
-// ---- frames
-// ------------------------------------------------------------------------------------------------
+// ---- frames -----------------------------------------------------------------------------------------------
 
 /// Bytes of the length in front of each frame, little-endian.
 inline constexpr std::size_t frame_length_bytes = 4;
--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -14,8 +14,7 @@
 // clang-tidy 14 reports the 0 that the compiler inserts into defaulted operator<=>.
 // NOLINTBEGIN(modernize-use-nullptr)
 
-// ---- configuration
-// -----------------------------------------------------------------------------------------
+// ---- configuration ----------------------------------------------------------------------------------------
 
 /// What may be repeated. Uploads have large bodies and run at most once, as `unsafe` requests do.
 enum class request_kind : std::uint8_t { safe, unsafe, upload };
@@ -100,8 +99,7 @@
     std::unordered_map<std::string, entry> routes_;
 };
 
-// ---- membership
-// --------------------------------------------------------------------------------------------
+// ---- membership -------------------------------------------------------------------------------------------
 
 enum class endpoint_state : std::uint8_t {
     absent,   ///< the daemon knows no live endpoint
@@ -201,8 +199,7 @@
     std::map<std::pair<std::string, std::string>, store_row> rows_;
 };
 
-// ---- choice of an endpoint
-// ---------------------------------------------------------------------------------
+// ---- choice of an endpoint --------------------------------------------------------------------------------
 
 /// Load of an endpoint as its own daemon tells it.
 struct endpoint_load {
@@ -244,8 +241,7 @@
 [[nodiscard]] std::optional<std::size_t> choose_endpoint(std::span<const candidate> candidates,
                                                          const choice_request& request, std::uint64_t random);
 
-// ---- admission
-// ---------------------------------------------------------------------------------------------
+// ---- admission --------------------------------------------------------------------------------------------
 
 /// A request that asks for a place at the endpoint.
 struct gate_request {
@@ -311,8 +307,7 @@
     std::vector<gate_request> queue_;           ///< in order of arrival
 };
 
-// ---- retries
-// -----------------------------------------------------------------------------------------------
+// ---- retries ----------------------------------------------------------------------------------------------
 
 /// This daemon's share of the repeats that all daemons may send to one service.
 class retry_share {
@@ -373,8 +368,7 @@
 };
 [[nodiscard]] std::string_view to_string(reason value);
 
-// ---- version moves
-// -----------------------------------------------------------------------------------------
+// ---- version moves ----------------------------------------------------------------------------------------
 
 /// The operator's order to move a service to another version.
 struct rollout_order {
@@ -410,9 +404,18 @@
     friend auto operator<=>(const rollout_settings&, const rollout_settings&) = default;
 };
 
-/// One version move as each daemon follows it. All daemons see the same evidence within a fraction of a
-/// second and follow the same schedule, so a move needs no owner to be contained; the status row is written
-/// under a condition by whichever daemon is first.
+/// Progress of a move as the daemon that judges it tells the others.
+struct move_progress {
+    std::string service;
+    std::uint64_t order_version = 0; ///< of the order's row
+    double share = 0;
+    bool bad = false;
+    friend auto operator<=>(const move_progress&, const move_progress&) = default;
+};
+
+/// One version move. The daemons that judge it get the evidence of all; the others follow what the first of
+/// the judges tells. A verdict against the version holds whoever gave it, so containment needs no owner; the
+/// status row is written under a condition by whichever daemon is first.
 class rollout {
 public:
     rollout(rollout_order order, rollout_settings settings, time_point started);
@@ -422,8 +425,10 @@
     void on_evidence(const std::string& daemon, std::int64_t daemon_start,
                      std::span<const version_evidence> counters);
     void on_status(const rollout_status& status);
-    /// Re-evaluates evidence and schedule.
+    /// Re-evaluates evidence and schedule; for judges.
     void advance(time_point now);
+    /// What a judge tells; for the other daemons.
+    void follow(double share, bool bad, time_point now);
     /// Share of the service's requests for the new version, from 0 to 1.
     [[nodiscard]] double share() const { return share_; }
     [[nodiscard]] bool is_bad() const { return bad_; }
@@ -443,6 +448,7 @@
     using route_totals = std::map<std::string, std::array<totals, 2>, std::less<>>;
     [[nodiscard]] route_totals collect() const;
     void judge();
+    void set_share(double share, time_point now);
     void judge_route(std::string_view route, const totals& old_version, const totals& new_version);
     rollout_order order_;
     rollout_settings settings_;
--- a/src/mesh/rollout.cpp
+++ b/src/mesh/rollout.cpp
@@ -150,12 +150,29 @@
             share = candidate_step.share;
         }
     }
-    share_ = std::max(share, share_ >= 1.0 ? share_ : 0.0);
-    if (share_ >= 1.0 && !full_since_) {
+    set_share(std::max(share, share_ >= 1.0 ? share_ : 0.0), now);
+}
+
+void rollout::set_share(double share, time_point now) {
+    share_ = share;
+    if (share_ < 1.0) {
+        full_since_.reset();
+    } else if (!full_since_) {
         full_since_ = now;
     }
 }
 
+void rollout::follow(double share, bool bad, time_point now) {
+    if (final_ || bad_) {
+        return;
+    }
+    if (bad) {
+        bad_ = true;
+        verdict_reason_ = "verdict of another daemon";
+    }
+    set_share(bad ? 0.0 : share, now);
+}
+
 bool rollout::may_complete(time_point now) const {
     return !bad_ && !final_ && full_since_ && now - *full_since_ >= full_time_before_completion;
 }
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -19,6 +19,8 @@
 constexpr duration retry_without_endpoint = milliseconds{300};
 /// A daemon that is silent or shuts down counts like one with so many failures: it is used when no other can.
 constexpr std::uint32_t avoided_failures = 6;
+/// Requests last well under this time, so a load that is this old is over.
+constexpr double load_lifetime_s = 3.0;
 /// Daemons that may refuse one request before its caller is told to come back.
 constexpr std::uint32_t max_refusals = 4;
 /// Part of the shared retry budget that is left unused: calls of repeated requests count as repeats too.
@@ -50,6 +52,13 @@
     return result;
 }
 
+/// A load that was told long ago says little: its requests have ended since.
+mesh::endpoint_load aged(mesh::endpoint_load load, duration age) {
+    const double part = 1.0 - std::min(1.0, std::chrono::duration<double>(age).count() / load_lifetime_s);
+    load.outstanding = static_cast<std::uint32_t>(load.outstanding * part);
+    return load;
+}
+
 std::uint64_t next_random(std::uint64_t& state) {
     state ^= state << 13;
     state ^= state >> 7;
@@ -164,10 +173,10 @@
         }
         const bool same_domain = about.failure_domain == settings_.failure_domain;
         const std::uint32_t suspicion = entry.link->is_suspect(now) || about.stopping ? avoided_failures : 0;
-        result.push_back(
-            {&about,
-             &entry,
-             {name, false, same_domain, entry.load, entry.sent_since_load, entry.failures + suspicion}});
+        result.push_back({&about,
+                          &entry,
+                          {name, false, same_domain, aged(entry.load, now - entry.load_at),
+                           entry.sent_since_load, entry.failures + suspicion}});
     }
     return result;
 }
--- a/src/sidecar/messages.cpp
+++ b/src/sidecar/messages.cpp
@@ -100,8 +100,15 @@
     const auto heads = encode_rows(out, value.heads);
     const auto load = value.load ? encode_load(out, *value.load) : flatbuffers::Offset<wire::load>{};
     const auto counters_offset = out.CreateVector(counters);
-    return {wire::payload::announce,
-            wire::Createannounce(out, members_offset, rows, heads, load, counters_offset).Union()};
+    std::vector<flatbuffers::Offset<wire::progress>> moves;
+    for (const auto& move : value.moves) {
+        moves.push_back(wire::Createprogress(out, out.CreateString(move.service), move.order_version,
+                                             move.share, move.bad));
+    }
+    const auto moves_offset = out.CreateVector(moves);
+    return {
+        wire::payload::announce,
+        wire::Createannounce(out, members_offset, rows, heads, load, counters_offset, moves_offset).Union()};
 }
 
 payload_offset encode(builder& out, const ping_message& value) {
@@ -202,6 +209,12 @@
                                        entry->latency_us()});
         }
     }
+    if (value.moves() != nullptr) {
+        for (const auto* move : *value.moves()) {
+            result.moves.push_back(
+                {text_of(move->service()), move->order_version(), move->share(), move->bad()});
+        }
+    }
     return result;
 }
 
--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -1,18 +1,27 @@
 #include "sidecar/peer_link.h"
 
+#include <array>
+
 namespace endive::sidecar {
 namespace {
 
 /// Silence after which a busy link is pinged; well above the time of a domain crossing.
 constexpr duration ping_after_busy = milliseconds{400};
-/// Silence after which an idle link is pinged, so that a cut is known before work goes there.
-constexpr duration ping_after_idle = milliseconds{1500};
+/// Silence after which an idle link is pinged. A call on a link that has gone silent meanwhile pings it at
+/// once.
+constexpr duration ping_after_idle = milliseconds{5000};
 /// A ping unanswered for this long makes the link a bad choice.
 constexpr duration suspect_after = milliseconds{250};
 /// A ping unanswered for this long means that the connection is gone. Lost packets are repeated after 200 to
 /// 400 ms, twice in a row within it.
 constexpr duration dead_after = milliseconds{1500};
 
+std::string_view kind_of(const peer_message& message) {
+    static constexpr std::array<std::string_view, 6> names{"call",     "cancel", "reply",
+                                                           "announce", "fetch",  "ping"};
+    return names.at(message.index());
+}
+
 } // namespace
 
 peer_link::peer_link(std::shared_ptr<stream> connection, const clock_source& clock, call_target& local,
@@ -47,7 +56,14 @@
 }
 
 void peer_link::send(const peer_message& message) {
-    connection_->send(encode(message));
+    send_frame(std::make_shared<const std::string>(encode(message)), kind_of(message));
+}
+
+void peer_link::send_frame(const std::shared_ptr<const std::string>& frame, std::string_view kind) {
+    if (counters_ != nullptr) {
+        counters_->add(counter_prefix_ + std::string{kind}, frame->size());
+    }
+    connection_->send(frame);
 }
 
 bool peer_link::is_suspect(time_point now) const {
--- a/src/sidecar/peer_link.h
+++ b/src/sidecar/peer_link.h
@@ -35,8 +35,13 @@
     std::uint64_t execute(call_message call, reply_handler done) override;
     void cancel(std::uint64_t id) override;
     void send(const peer_message& message);
+    /// Counts the bytes sent by kind of message under this prefix.
+    void count_bytes(counter_set& counters, std::string prefix) {
+        counters_ = &counters;
+        counter_prefix_ = std::move(prefix);
+    }
     /// Sends a frame that several links share.
-    void send_frame(const std::shared_ptr<const std::string>& frame) { connection_->send(frame); }
+    void send_frame(const std::shared_ptr<const std::string>& frame, std::string_view kind);
 
     /// Name of the other daemon; empty until its first announcement.
     [[nodiscard]] const std::string& daemon() const { return daemon_; }
@@ -72,6 +77,8 @@
     time_point last_heard_;
     std::optional<time_point> pinged_;
     bool ended_ = false;
+    counter_set* counters_ = nullptr;
+    std::string counter_prefix_;
 };
 
 } // namespace endive::sidecar
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -9,19 +9,22 @@
 constexpr duration min_dial_pause = milliseconds{100};
 /// A daemon that is away is tried this often: it may come back within a second of its restart.
 constexpr duration max_dial_pause = milliseconds{800};
-/// Rows up to this size travel with their value; of larger ones only the version is told.
-constexpr std::size_t max_spread_bytes = 2048;
+/// Daemons that rows are compared with at a time: a daemon hears from two others on average each time.
+constexpr std::size_t compared_peers = 2;
 /// The store usually delivers a row itself within this time; after it, a peer is asked.
 constexpr duration fetch_after = milliseconds{200};
+/// An answer of a peer to a fetch takes at most this long; then another one is asked.
+constexpr duration fetch_patience = milliseconds{500};
 /// A daemon that no link has reached for so long has left for good.
 constexpr duration gone_after = std::chrono::seconds{60};
 
 } // namespace
 
 peer_set::peer_set(boost::asio::io_context& loop, const clock_source& clock, const sidecar_settings& settings,
-                   endpoint_service& local, const mesh::row_replica& rows, handlers callbacks)
-    : loop_{loop}, clock_{clock}, local_{local}, rows_{rows}, callbacks_{std::move(callbacks)}, acceptor_{
-                                                                                                    loop} {
+                   counter_set& counters, endpoint_service& local, const mesh::row_replica& rows,
+                   handlers callbacks)
+    : loop_{loop}, clock_{clock}, counters_{counters}, local_{local}, rows_{rows},
+      callbacks_{std::move(callbacks)}, acceptor_{loop} {
     try {
         const auto endpoint = to_endpoint(settings.peers_address);
         acceptor_.open(endpoint.protocol());
@@ -54,23 +57,12 @@
     link->start();
 }
 
-/// The first announcement of a link: who this is and what it knows.
+/// The first announcement of a link: who this is and which rows it has.
 void peer_set::greet(peer_link& link) {
     announce_message hello;
     hello.members.push_back(self_);
-    for (const auto& [name, entry] : peers_) {
-        hello.members.push_back(entry.about);
-    }
-    for (auto row : rows_.all()) {
-        if (row.value.size() <= max_spread_bytes) {
-            hello.rows.push_back(std::move(row));
-        } else {
-            row.value.clear();
-            hello.heads.push_back(std::move(row));
-        }
-    }
+    hello.heads = callbacks_.heads();
     hello.load = local_.load();
-    hello.counters = local_.evidence();
     link.send(hello);
 }
 
@@ -148,33 +140,61 @@
     const auto frame = std::make_shared<const std::string>(encode(message));
     for (const auto& [name, entry] : peers_) {
         if (entry.link) {
-            entry.link->send_frame(frame);
+            entry.link->send_frame(frame, "announce");
         }
     }
 }
 
 void peer_set::spread(const mesh::store_row& row) {
     announce_message message;
-    if (row.value.size() <= max_spread_bytes) {
-        message.rows.push_back(row);
-    } else {
-        message.heads.push_back({row.table, row.key, {}, row.version, row.removed});
-    }
+    message.rows.push_back(row);
     broadcast(message);
 }
 
-void peer_set::spread_load(const mesh::endpoint_load& load) {
+void peer_set::spread_load(const mesh::endpoint_load& load, bool to_all) {
     announce_message message;
     message.load = load;
-    broadcast(message);
+    if (to_all) {
+        broadcast(message);
+        return;
+    }
+    const auto frame = std::make_shared<const std::string>(encode(message));
+    for (const auto& [name, entry] : peers_) {
+        if (entry.link && entry.about.failure_domain == self_.failure_domain) {
+            entry.link->send_frame(frame, "announce");
+        }
+    }
 }
 
-void peer_set::spread_evidence(const std::vector<mesh::version_evidence>& counters) {
+void peer_set::send_evidence(const std::string& daemon, const std::vector<mesh::version_evidence>& counters) {
+    const auto* entry = find(daemon);
+    if (entry != nullptr && entry->link) {
+        announce_message message;
+        message.counters = counters;
+        entry->link->send(message);
+    }
+}
+
+void peer_set::spread_progress(const std::vector<mesh::move_progress>& moves) {
     announce_message message;
-    message.counters = counters;
+    message.moves = moves;
     broadcast(message);
 }
 
+void peer_set::compare_rows(std::uint64_t random) {
+    std::vector<std::shared_ptr<peer_link>> linked;
+    for (const auto& [name, entry] : peers_) {
+        if (entry.link) {
+            linked.push_back(entry.link);
+        }
+    }
+    announce_message message;
+    message.heads = callbacks_.heads();
+    for (std::size_t i = 0; i < std::min(compared_peers, linked.size()); ++i) {
+        linked[(random + i * (linked.size() / compared_peers + 1)) % linked.size()]->send(message);
+    }
+}
+
 void peer_set::on_announce(const std::shared_ptr<peer_link>& link, announce_message message) {
     if (link->daemon().empty()) {
         if (message.members.empty() || message.members.front().daemon == self_.daemon) {
@@ -182,6 +202,8 @@
             return;
         }
         link->set_daemon(message.members.front());
+        const bool same = message.members.front().failure_domain == self_.failure_domain;
+        link->count_bytes(counters_, same ? "peer_bytes_in_domain_" : "peer_bytes_between_domains_");
     }
     for (const auto& about : message.members) {
         learn(about);
@@ -207,16 +229,23 @@
     if (!message.counters.empty() && entry != nullptr) {
         callbacks_.evidence(link->daemon(), entry->about.daemon_start_unix_ms, std::move(message.counters));
     }
+    for (const auto& move : message.moves) {
+        callbacks_.progress(link->daemon(), move);
+    }
 }
 
 void peer_set::fetch_missing(const std::shared_ptr<peer_link>& link,
                              const std::vector<mesh::store_row>& heads) {
     for (const auto& head : heads) {
         const auto* known = rows_.find(head.table, head.key);
-        if (known == nullptr) {
-            link->send(fetch_message{{head}});
-        } else if (known->version < head.version) {
-            wanted_.push_back({head, link, clock_.now()});
+        if (known != nullptr && known->version >= head.version) {
+            continue;
+        }
+        const auto [found, is_new] =
+            wanted_.try_emplace({head.table, head.key}, wanted_row{head, link, clock_.now(), false});
+        if (!is_new && found->second.head.version < head.version) {
+            found->second.head = head;
+            found->second.from = link;
         }
     }
 }
@@ -234,6 +263,7 @@
 void peer_set::on_load(const std::shared_ptr<peer_link>& link, const mesh::endpoint_load& load) {
     if (auto* entry = find(link->daemon())) {
         entry->load = load;
+        entry->load_at = clock_.now();
         entry->sent_since_load = 0;
     }
 }
@@ -272,19 +302,28 @@
         }
         dial(entry);
     }
-    std::erase_if(wanted_, [&](const wanted_row& wanted) {
+    fetch_wanted(now);
+}
+
+/// Asks for the rows that the store has not delivered meanwhile.
+void peer_set::fetch_wanted(time_point now) {
+    for (auto item = wanted_.begin(); item != wanted_.end();) {
+        auto& wanted = item->second;
         const auto* known = rows_.find(wanted.head.table, wanted.head.key);
-        if (known != nullptr && known->version >= wanted.head.version) {
-            return true;
-        }
-        if (now - wanted.since < fetch_after) {
-            return false;
+        const bool arrived = known != nullptr && known->version >= wanted.head.version;
+        const bool unanswered = wanted.asked && now - wanted.since > fetch_patience;
+        if (arrived || unanswered) {
+            item = wanted_.erase(item); // the next comparison finds an unanswered one again
+            continue;
         }
-        if (const auto link = wanted.from.lock()) {
+        const auto link = wanted.from.lock();
+        if (!wanted.asked && now - wanted.since >= fetch_after && link) {
             link->send(fetch_message{{wanted.head}});
+            wanted.asked = true;
+            wanted.since = now;
         }
-        return true;
-    });
+        ++item;
+    }
 }
 
 std::size_t peer_set::link_count() const {
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -12,6 +12,7 @@
     mesh::member about;
     std::shared_ptr<peer_link> link; ///< null while none is open
     mesh::endpoint_load load;
+    time_point load_at{};
     std::uint32_t sent_since_load = 0;
     std::uint32_t failures = 0; ///< in a row, of requests sent there
     time_point next_dial{};
@@ -29,20 +30,30 @@
         std::function<void(const std::string& daemon, std::int64_t start,
                            std::vector<mesh::version_evidence>)>
             evidence;
+        std::function<void(const std::string& daemon, const mesh::move_progress&)> progress;
+        /// Rows that the daemon keeps in common with all others, without their values.
+        std::function<std::vector<mesh::store_row>()> heads;
     };
     peer_set(boost::asio::io_context& loop, const clock_source& clock, const sidecar_settings& settings,
-             endpoint_service& local, const mesh::row_replica& rows, handlers callbacks);
+             counter_set& counters, endpoint_service& local, const mesh::row_replica& rows,
+             handlers callbacks);
 
     /// What this daemon says of itself; sent to all links.
     void set_self(const mesh::member& self);
     [[nodiscard]] const mesh::member& self() const { return self_; }
     /// A daemon that another one or the store told of.
     void learn(const mesh::member& about);
-    /// Tells all daemons of a row that came from the store.
+    /// Tells all daemons of a small row that this one wrote.
     void spread(const mesh::store_row& row);
-    void spread_load(const mesh::endpoint_load& load);
-    void spread_evidence(const std::vector<mesh::version_evidence>& counters);
+    /// Tells the daemons of this failure domain; a change of `accepting` goes to all.
+    void spread_load(const mesh::endpoint_load& load, bool to_all);
+    void send_evidence(const std::string& daemon, const std::vector<mesh::version_evidence>& counters);
+    void spread_progress(const std::vector<mesh::move_progress>& moves);
+    /// Compares rows with a few other daemons, drawn by `random`: a daemon that the store does not answer
+    /// learns of changes from them.
+    void compare_rows(std::uint64_t random);
     [[nodiscard]] std::map<std::string, peer>& peers() { return peers_; }
+    [[nodiscard]] const std::map<std::string, peer>& peers() const { return peers_; }
     [[nodiscard]] peer* find(const std::string& daemon);
     /// Dials, pings, forgets. Call every 100 ms or so.
     void tick(time_point now);
@@ -63,10 +74,12 @@
     void adopt(std::shared_ptr<stream> connection);
     void greet(peer_link& link);
     void broadcast(const peer_message& message);
+    void fetch_wanted(time_point now);
     void fetch_missing(const std::shared_ptr<peer_link>& link, const std::vector<mesh::store_row>& heads);
 
     boost::asio::io_context& loop_;
     const clock_source& clock_;
+    counter_set& counters_;
     endpoint_service& local_;
     const mesh::row_replica& rows_;
     handlers callbacks_;
@@ -77,9 +90,11 @@
     struct wanted_row {
         mesh::store_row head;
         std::weak_ptr<peer_link> from;
-        time_point since;
+        time_point since; ///< of the news, or of the question
+        bool asked = false;
     };
-    std::vector<wanted_row> wanted_; ///< rows that others have and this daemon lacks
+    /// Rows that others have and this daemon lacks, by table and key.
+    std::map<std::pair<std::string, std::string>, wanted_row> wanted_;
     bool closed_ = false;
 };
 
--- a/src/sidecar/rollouts.cpp
+++ b/src/sidecar/rollouts.cpp
@@ -2,12 +2,17 @@
 
 #include "platform/wire.h"
 
+#include <algorithm>
+
 namespace endive::sidecar {
 namespace {
 
 /// Time for all daemons to follow the last step before endpoints of the old version refuse new work.
 constexpr duration retire_after = milliseconds{600};
 
+/// A judge that was not heard for this long is passed over; it repeats itself twice a second.
+constexpr duration judge_silence = milliseconds{1500};
+
 } // namespace
 
 void rollouts::apply_status(entry& item) {
@@ -31,6 +36,7 @@
     item.start_recorded = false;
     item.credit = 0;
     item.full_since.reset();
+    item.told.clear();
     for (const auto& [daemon, last] : evidence_) {
         item.move->on_evidence(daemon, last.start, last.counters);
     }
@@ -84,14 +90,68 @@
     }
 }
 
-void rollouts::advance(time_point now) {
+void rollouts::on_progress(const std::string& daemon, const mesh::move_progress& progress, time_point now) {
+    const auto found = services_.find(progress.service);
+    if (found == services_.end() || !found->second.move ||
+        found->second.order_version != progress.order_version) {
+        return;
+    }
+    found->second.told[daemon] = {progress, now};
+}
+
+/// A verdict holds whoever gave it; the share is that of the first judge that is heard.
+void rollouts::follow(entry& item, const std::vector<std::string>& judges, time_point now) {
+    for (const auto& [daemon, told] : item.told) {
+        if (told.value.bad) {
+            item.move->follow(0, true, now);
+        }
+    }
+    for (const auto& judge : judges) {
+        const auto told = item.told.find(judge);
+        if (told != item.told.end() && now - told->second.at < judge_silence) {
+            item.move->follow(told->second.value.share, false, now);
+            return;
+        }
+    }
+}
+
+std::vector<mesh::move_progress> rollouts::progress() const {
+    std::vector<mesh::move_progress> result;
+    for (const auto& [service, item] : services_) {
+        if (item.move && item.judged_here && !item.move->final_state()) {
+            result.push_back({service, item.order_version, item.move->share(), item.move->is_bad()});
+        }
+    }
+    return result;
+}
+
+std::vector<std::string> rollouts::running() const {
+    std::vector<std::string> result;
+    for (const auto& [service, item] : services_) {
+        if (item.move && !item.move->final_state()) {
+            result.push_back(service);
+        }
+    }
+    return result;
+}
+
+void rollouts::advance(time_point now, const std::string& self,
+                       const std::function<std::vector<std::string>(const std::string&)>& judges) {
     for (auto& [service, item] : services_) {
-        if (!item.move) {
+        if (!item.move || item.move->final_state()) {
             continue;
         }
         const bool was_bad = item.move->is_bad();
         const double share = item.move->share();
-        item.move->advance(now);
+        const auto order = judges(service);
+        item.judged_here = std::find(order.begin(), order.end(), self) != order.end();
+        // Only the first judge sets the share; the others judge and follow it.
+        if (item.judged_here) {
+            item.move->advance(now);
+        }
+        if (order.empty() || order.front() != self) {
+            follow(item, order, now);
+        }
         if (item.move->is_bad() && !was_bad) {
             log_event(log_level::warning, "move_version_bad",
                       {{"service", service},
@@ -144,15 +204,6 @@
            (item.full_since && now - *item.full_since > retire_after);
 }
 
-bool rollouts::any_running() const {
-    for (const auto& [service, item] : services_) {
-        if (item.move && !item.move->final_state()) {
-            return true;
-        }
-    }
-    return false;
-}
-
 std::vector<status_write>
 rollouts::due(time_point now,
               const std::function<bool(const std::string&, const std::string&)>& old_idle) const {
--- a/src/sidecar/rollouts.h
+++ b/src/sidecar/rollouts.h
@@ -35,13 +35,21 @@
                   time_point now);
     void on_evidence(const std::string& daemon, std::int64_t start,
                      std::span<const mesh::version_evidence> counters);
-    void advance(time_point now);
+    /// `judges(service)` lists the daemons that judge the moves of a service, the first one first; `self` is
+    /// this daemon's name.
+    void advance(time_point now, const std::string& self,
+                 const std::function<std::vector<std::string>(const std::string&)>& judges);
+    /// What the judge `daemon` says.
+    void on_progress(const std::string& daemon, const mesh::move_progress& progress, time_point now);
+    /// Progress of the moves that this daemon judges.
+    [[nodiscard]] std::vector<mesh::move_progress> progress() const;
+    /// Services with a move under way.
+    [[nodiscard]] std::vector<std::string> running() const;
     /// Draws the version of one request.
     [[nodiscard]] version_choice choose(const std::string& service);
     /// Where requests of a service go at this moment, without drawing.
     [[nodiscard]] bool is_retired(const std::string& service, const std::string& version,
                                   time_point now) const;
-    [[nodiscard]] bool any_running() const;
     /// Statuses that are due and not written yet. `old_idle(service, version)` tells whether no endpoint of
     /// another version has work.
     [[nodiscard]] std::vector<status_write>
@@ -63,7 +71,14 @@
         bool start_recorded = false;
         double credit = 0; ///< of the new version in the draw
         std::optional<time_point> full_since;
+        bool judged_here = false;
+        struct told_progress {
+            mesh::move_progress value;
+            time_point at;
+        };
+        std::map<std::string, told_progress> told; ///< by judge
     };
+    void follow(entry& item, const std::vector<std::string>& judges, time_point now);
     void apply_status(entry& item);
     mesh::rollout_settings settings_;
     std::map<std::string, entry> services_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -21,6 +21,15 @@
 constexpr duration member_read_interval = std::chrono::seconds{30};
 /// Heartbeats missed in a row after which an endpoint counts as gone.
 constexpr int heartbeats_missed = 4;
+/// Daemons that judge a move: three of them, in different places, rarely go at once.
+constexpr std::size_t judges_of_a_move = 3;
+constexpr duration evidence_interval = milliseconds{250};
+constexpr duration progress_interval = milliseconds{500};
+/// Rows are compared this often while they change, so that a daemon without the store is not behind for long.
+constexpr duration comparison_interval = milliseconds{400};
+constexpr duration quiet_comparison_interval = std::chrono::seconds{3};
+constexpr duration comparison_after_news = std::chrono::seconds{4};
+constexpr duration summary_interval = std::chrono::seconds{10};
 /// Each further daemon waits this much longer before it takes over a duty.
 constexpr duration duty_step = milliseconds{700};
 /// After SIGTERM callers still send new requests until two readiness checks have failed, one a second.
@@ -53,14 +62,19 @@
       moves_{settings_}, peers_{loop,
                                 clock,
                                 settings_,
+                                counters_,
                                 local_,
                                 rows_,
-                                {[this](const mesh::store_row& row) { on_row(row, false); },
+                                {[this](const mesh::store_row& row) { on_row(row); },
                                  [this](const mesh::member& about) { on_member_news(about); },
                                  [this](const std::string& daemon, std::int64_t start,
                                         const std::vector<mesh::version_evidence>& counters) {
                                      moves_.on_evidence(daemon, start, counters);
-                                 }}},
+                                 },
+                                 [this](const std::string& daemon, const mesh::move_progress& progress) {
+                                     moves_.on_progress(daemon, progress, clock_.now());
+                                 },
+                                 [this] { return row_heads(); }}},
       forwarder_{clock, counters_, settings_, local_, peers_, moves_},
       callers_{loop, clock, settings_.callers_address,
                [this](const std::shared_ptr<exchange>& request) { forwarder_.handle(request); }},
@@ -71,7 +85,7 @@
       orders_{loop, settings_.store_address, std::string{platform_wire::operator_table},
               [this](const std::vector<mesh::store_row>& rows) {
                   for (const auto& row : rows) {
-                      on_row(row, true);
+                      on_row(row);
                   }
               },
               [this](bool healthy) {
@@ -105,8 +119,7 @@
     tick();
 }
 
-// ---- calls from outside
-// ------------------------------------------------------------------------------------
+// ---- calls from outside -----------------------------------------------------------------------------------
 
 void sidecar::on_ready_call(const std::shared_ptr<exchange>& request) {
     const auto& message = request->request();
@@ -182,16 +195,13 @@
     request->respond(own_response(status_ok, out.str()));
 }
 
-// ---- rows
-// --------------------------------------------------------------------------------------------------
+// ---- rows -------------------------------------------------------------------------------------------------
 
-void sidecar::on_row(const mesh::store_row& row, bool from_store) {
+void sidecar::on_row(const mesh::store_row& row) {
     if (!rows_.apply(row)) {
         return;
     }
-    if (from_store) {
-        peers_.spread(row);
-    }
+    last_news_ = clock_.now();
     try {
         if (row.table == platform_wire::operator_table) {
             on_operator_row(row);
@@ -286,7 +296,7 @@
                         try {
                             const auto page = platform_wire::decode_rows(answer.body);
                             for (const auto& row : page.rows) {
-                                on_row(row, true);
+                                on_row(row);
                             }
                             if (page.has_more && !page.rows.empty()) {
                                 load_table(table, page.rows.back().key + '\x01', pages + 1);
@@ -322,11 +332,14 @@
                         if (answer.status == status_ok) {
                             auto stored = row;
                             stored.version = platform_wire::decode_transaction_version(answer.body);
-                            on_row(stored, true);
+                            on_row(stored);
+                            if (!stored.key.starts_with(member_prefix)) {
+                                peers_.spread(stored);
+                            }
                             written = true;
                         } else if (answer.status == status_precondition_failed) {
                             for (const auto& current : platform_wire::decode_rows(answer.body).rows) {
-                                on_row(current, true);
+                                on_row(current);
                             }
                         }
                     } catch (const error& cause) {
@@ -342,8 +355,7 @@
                 });
 }
 
-// ---- membership
-// --------------------------------------------------------------------------------------------
+// ---- membership -------------------------------------------------------------------------------------------
 
 void sidecar::publish_self() {
     const auto& endpoint = local_.tracker().current();
@@ -384,8 +396,7 @@
     const auto weight = [&](const std::string& daemon) { return stable_hash(daemon, stable_hash(duty)); };
     const auto own = weight(self_.daemon);
     std::size_t rank = 0;
-    auto& peers = const_cast<sidecar*>(this)->peers_.peers();
-    for (const auto& [name, entry] : peers) {
+    for (const auto& [name, entry] : peers_.peers()) {
         if (entry.link && weight(name) < own) {
             ++rank;
         }
@@ -393,8 +404,7 @@
     return rank;
 }
 
-// ---- version moves
-// -----------------------------------------------------------------------------------------
+// ---- version moves ----------------------------------------------------------------------------------------
 
 void sidecar::write_due_statuses(time_point now) {
     const auto old_idle = [this](const std::string& service, const std::string& to) {
@@ -439,8 +449,79 @@
     std::erase_if(duty_since_, [&](const auto& item) { return !present.contains(item.first); });
 }
 
-// ---- time
-// --------------------------------------------------------------------------------------------------
+/// Evidence goes to the daemons that judge a move; their progress goes to all.
+void sidecar::advance_moves(time_point now) {
+    const auto running = moves_.running();
+    if (running.empty()) {
+        return;
+    }
+    if (now >= next_evidence_ && !local_.evidence().empty()) {
+        next_evidence_ = now + evidence_interval;
+        for (const auto& service : running) {
+            if (service == self_.service) {
+                tell_judges(service);
+            }
+        }
+    }
+    moves_.advance(now, self_.daemon, [this](const std::string& service) { return judges_of(service); });
+    const auto progress = moves_.progress();
+    if (!progress.empty() && (progress != told_progress_ || now >= next_progress_)) {
+        told_progress_ = progress;
+        next_progress_ = now + progress_interval;
+        peers_.spread_progress(progress);
+    }
+}
+
+void sidecar::tell_judges(const std::string& service) {
+    for (const auto& judge : judges_of(service)) {
+        if (judge == self_.daemon) {
+            moves_.on_evidence(self_.daemon, self_.daemon_start_unix_ms, local_.evidence());
+        } else {
+            peers_.send_evidence(judge, local_.evidence());
+        }
+    }
+}
+
+/// The same daemons in the same order wherever it is asked, as long as the links agree.
+std::vector<std::string> sidecar::judges_of(const std::string& service) const {
+    const auto seed = stable_hash(service);
+    std::vector<std::pair<std::uint64_t, std::string>> order{{stable_hash(self_.daemon, seed), self_.daemon}};
+    for (const auto& [name, entry] : peers_.peers()) {
+        if (entry.link && !entry.about.stopping) {
+            order.emplace_back(stable_hash(name, seed), name);
+        }
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<std::string> result;
+    for (std::size_t i = 0; i < std::min(judges_of_a_move, order.size()); ++i) {
+        result.push_back(order[i].second);
+    }
+    return result;
+}
+
+// ---- rows in common
+
+std::vector<mesh::store_row> sidecar::row_heads() const {
+    std::vector<mesh::store_row> result;
+    for (auto row : rows_.all()) {
+        if (row.table != own_table || !row.key.starts_with(member_prefix)) {
+            row.value.clear();
+            result.push_back(std::move(row));
+        }
+    }
+    return result;
+}
+
+void sidecar::compare_rows(time_point now) {
+    if (now < next_comparison_) {
+        return;
+    }
+    const bool recent = now - last_news_ < comparison_after_news;
+    next_comparison_ = now + (recent ? comparison_interval : quiet_comparison_interval);
+    peers_.compare_rows(stable_hash(self_.daemon, ++comparisons_));
+}
+
+// ---- time -------------------------------------------------------------------------------------------------
 
 void sidecar::tick() {
     const auto now = clock_.now();
@@ -478,8 +559,9 @@
         }
     }
     write_self();
-    moves_.on_evidence(self_.daemon, self_.daemon_start_unix_ms, local_.evidence());
-    moves_.advance(now);
+    advance_moves(now);
+    compare_rows(now);
+    log_summary(now);
     local_.set_retired(moves_.is_retired(self_.service, self_.version, now));
     if (members_loaded_ && statuses_loaded_ && !stopping_since_) {
         write_due_statuses(now);
@@ -491,12 +573,8 @@
         (load.outstanding == 0) != (spread_load_.outstanding == 0);
     if (load_changed && now >= next_load_) {
         next_load_ = now + load_interval;
+        peers_.spread_load(load, load.accepting != spread_load_.accepting);
         spread_load_ = load;
-        peers_.spread_load(load);
-    }
-    if (moves_.any_running() && local_.evidence() != spread_evidence_) {
-        spread_evidence_ = local_.evidence();
-        peers_.spread_evidence(spread_evidence_);
     }
     if (members_loaded_ && now >= next_member_read_) {
         next_member_read_ = now + member_read_interval;
@@ -504,6 +582,25 @@
     }
 }
 
+/// The counters that grew since the last summary, for an engineer who has only the log.
+void sidecar::log_summary(time_point now) {
+    if (now < next_summary_) {
+        return;
+    }
+    next_summary_ = now + summary_interval;
+    json grown = json::object();
+    for (const auto& [name, value] : counters_.values()) {
+        auto& before = summarized_[name];
+        if (value != before) {
+            grown[name] = value - before;
+            before = value;
+        }
+    }
+    log_event(
+        log_level::info, "summary",
+        {{"counters", grown}, {"links", peers_.link_count()}, {"outstanding", local_.load().outstanding}});
+}
+
 void sidecar::stop() {
     if (stopping_since_) {
         return;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -22,7 +22,7 @@
     void on_heartbeat(const std::shared_ptr<exchange>& request, const std::string& endpoint_id);
     void on_deregister(const std::shared_ptr<exchange>& request, const std::string& endpoint_id);
     void on_metrics(const std::shared_ptr<exchange>& request);
-    void on_row(const mesh::store_row& row, bool from_store);
+    void on_row(const mesh::store_row& row);
     void on_operator_row(const mesh::store_row& row);
     void on_own_row(const mesh::store_row& row);
     void on_member_news(const mesh::member& about);
@@ -32,6 +32,12 @@
     void write_due_statuses(time_point now);
     void write(const mesh::store_row& row, std::uint64_t expected, std::function<void(bool written)> done);
     void load_table(const std::string& table, const std::string& from, std::uint64_t pages);
+    [[nodiscard]] std::vector<mesh::store_row> row_heads() const;
+    [[nodiscard]] std::vector<std::string> judges_of(const std::string& service) const;
+    void advance_moves(time_point now);
+    void tell_judges(const std::string& service);
+    void compare_rows(time_point now);
+    void log_summary(time_point now);
     void tick();
     void slow_tick(time_point now);
     void finish_stop(time_point now);
@@ -71,7 +77,14 @@
     time_point next_slow_tick_{};
     time_point next_load_{};
     std::optional<time_point> stopping_since_;
-    std::vector<mesh::version_evidence> spread_evidence_;
+    std::vector<mesh::move_progress> told_progress_;
+    time_point next_evidence_{};
+    time_point next_summary_{};
+    std::map<std::string, std::uint64_t> summarized_;
+    time_point next_progress_{};
+    time_point next_comparison_{};
+    time_point last_news_{};
+    std::uint64_t comparisons_ = 0;
 };
 
 } // namespace endive::sidecar
