--- a/include/endive/base.h
+++ b/include/endive/base.h
@@ -100,13 +100,46 @@
 
 enum class log_level { debug, info, warning, error };
 
-/// Sets up logging as JSON lines on standard error. Call once from `main` before any other thread starts.
+/// How much a line matters when not all can be written.
+enum class log_importance : std::uint8_t { routine, refusal, lifecycle };
+
+/// Lines that may be written a second. Routine lines leave half of the budget to the others, refusals a fifth
+/// to lines of the process itself. Not thread safe.
+class log_budget {
+public:
+    explicit log_budget(double lines_per_second) : rate_{lines_per_second}, tokens_{lines_per_second} {}
+    /// True when a line of this importance would be written.
+    [[nodiscard]] bool has_room(log_importance importance, time_point now);
+    /// False when the line is to be dropped; it is counted then.
+    [[nodiscard]] bool take(log_importance importance, time_point now);
+    /// Lines dropped since the last call.
+    [[nodiscard]] std::uint64_t take_dropped();
+
+private:
+    double rate_;
+    double tokens_;
+    time_point last_{};
+    std::uint64_t dropped_ = 0;
+};
+
+/// Where a program's lines go.
+struct log_output {
+    int descriptor = 2;
+    /// Lines a second; 0 for no limit. With a limit the descriptor is made non-blocking: lines that a reader
+    /// does not take are dropped and counted in a line `log_dropped`.
+    double lines_per_second = 0;
+};
+
+/// Sets up logging as JSON lines. Call once from `main` before any other thread starts.
 /// `process` goes into each line.
-void configure_log(log_level minimum, std::string_view process);
+void configure_log(log_level minimum, std::string_view process, const log_output& output = {});
 
 /// Writes one JSON line `{"time","level","process","event",...fields}`. Thread safe.
 /// Precondition: `fields` is an object or null.
-void log_event(log_level level, std::string_view event, const json& fields = {});
+void log_event(log_level level, std::string_view event, const json& fields = {},
+               log_importance importance = log_importance::lifecycle);
+/// True when a routine line would be dropped, so that the caller need not build it. Thread safe.
+[[nodiscard]] bool log_is_busy();
 
 // ---- counters --------------------------------------------------------------------------------------------
 
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,6 +1,9 @@
 #include "endive/base.h"
 
-#include <iostream>
+#include <cerrno>
+#include <fcntl.h>
+#include <unistd.h>
+#include <utility>
 
 #include <easylogging++.h>
 
@@ -26,20 +29,146 @@
     return "error";
 }
 
-/// Writes each line to standard error; the library's own dispatcher writes to standard output.
-class stderr_dispatch final : public el::LogDispatchCallback {
+/// Routine lines may use the budget down to this share of it, refusals down to the next.
+constexpr double routine_reserve = 0.5;
+constexpr double refusal_reserve = 0.2;
+
+/// Writes whole lines to a descriptor; with a limit it never waits for the reader.
+class line_writer {
+public:
+    void configure(const log_output& output) {
+        descriptor_ = output.descriptor;
+        limited_ = output.lines_per_second > 0;
+        budget_ = log_budget{output.lines_per_second};
+        if (limited_) {
+            const int flags = ::fcntl(descriptor_, F_GETFL);
+            (void)::fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+        }
+    }
+
+    [[nodiscard]] bool admit(log_importance importance) {
+        const std::lock_guard lock{mutex_};
+        return !limited_ || budget_.take(importance, std::chrono::steady_clock::now());
+    }
+
+    [[nodiscard]] bool is_busy() {
+        const std::lock_guard lock{mutex_};
+        return limited_ && !budget_.has_room(log_importance::routine, std::chrono::steady_clock::now());
+    }
+
+    /// Lines dropped since the last call, by the budget or for want of a reader.
+    [[nodiscard]] std::uint64_t take_dropped() {
+        const std::lock_guard lock{mutex_};
+        return budget_.take_dropped() + std::exchange(unread_, 0);
+    }
+
+    void write(std::string_view line) {
+        const std::lock_guard lock{mutex_};
+        if (!rest_.empty()) {
+            rest_.erase(0, put(rest_));
+            if (!rest_.empty()) {
+                ++unread_;
+                return;
+            }
+        }
+        const auto written = put(line);
+        if (written == 0) {
+            ++unread_;
+        } else {
+            rest_ = line.substr(written); // a line that was begun is ended before the next one
+        }
+    }
+
+private:
+    std::size_t put(std::string_view bytes) const {
+        std::size_t done = 0;
+        while (done < bytes.size()) {
+            const auto count = ::write(descriptor_, bytes.data() + done, bytes.size() - done);
+            if (count < 0 && errno == EINTR) {
+                continue;
+            }
+            if (count <= 0) {
+                break;
+            }
+            done += static_cast<std::size_t>(count);
+        }
+        return done;
+    }
+
+    std::mutex mutex_;
+    int descriptor_ = STDERR_FILENO;
+    bool limited_ = false;
+    log_budget budget_{0};
+    std::string rest_;
+    std::uint64_t unread_ = 0;
+};
+
+line_writer& writer() {
+    static line_writer instance;
+    return instance;
+}
+
+/// Hands each line to the writer; the library's own dispatcher writes to standard output and waits.
+class line_dispatch final : public el::LogDispatchCallback {
 protected:
     void handle(const el::LogDispatchData* data) noexcept override {
-        const std::string line = std::string{data->logMessage()->message()} + "\n";
-        std::fwrite(line.data(), 1, line.size(), stderr);
+        writer().write(std::string{data->logMessage()->message()} + "\n");
     }
 };
 
+json line_of(log_level level, std::string_view event) {
+    return {{"time", format_rfc3339(std::chrono::system_clock::now())},
+            {"level", level_name(level)},
+            {"process", process_name},
+            {"event", event}};
+}
+
+void emit(log_level level, const json& line) {
+    const auto text = line.dump(-1, ' ', false, json::error_handler_t::replace);
+    switch (level) {
+    case log_level::debug:
+    case log_level::info:
+        LOG(INFO) << text;
+        break;
+    case log_level::warning:
+        LOG(WARNING) << text;
+        break;
+    case log_level::error:
+        LOG(ERROR) << text;
+        break;
+    }
+}
+
 } // namespace
 
-void configure_log(log_level minimum, std::string_view process) {
+bool log_budget::has_room(log_importance importance, time_point now) {
+    if (last_ != time_point{}) {
+        tokens_ = std::min(rate_, tokens_ + rate_ * std::chrono::duration<double>(now - last_).count());
+    }
+    last_ = now;
+    const double reserve = importance == log_importance::routine   ? routine_reserve
+                           : importance == log_importance::refusal ? refusal_reserve
+                                                                   : 0.0;
+    return tokens_ - 1.0 >= rate_ * reserve;
+}
+
+bool log_budget::take(log_importance importance, time_point now) {
+    if (!has_room(importance, now)) {
+        ++dropped_;
+        return false;
+    }
+    tokens_ -= 1.0;
+    return true;
+}
+
+std::uint64_t log_budget::take_dropped() {
+    return std::exchange(dropped_, 0);
+}
+
+void configure_log(log_level minimum, std::string_view process, const log_output& output) {
     process_name = process;
     minimum_level = minimum;
+    writer().configure(output);
     el::Configurations settings;
     settings.setToDefault();
     settings.setGlobally(el::ConfigurationType::ToFile, "false");
@@ -48,33 +177,28 @@
     el::Loggers::reconfigureAllLoggers(settings);
     el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
         "DefaultLogDispatchCallback");
-    el::Helpers::installLogDispatchCallback<stderr_dispatch>("stderr");
+    el::Helpers::installLogDispatchCallback<line_dispatch>("lines");
+}
+
+bool log_is_busy() {
+    return process_name.empty() || writer().is_busy();
 }
 
-void log_event(log_level level, std::string_view event, const json& fields) {
-    if (level < minimum_level.load(std::memory_order_relaxed) || process_name.empty()) {
+void log_event(log_level level, std::string_view event, const json& fields, log_importance importance) {
+    if (level < minimum_level.load(std::memory_order_relaxed) || process_name.empty() ||
+        !writer().admit(importance)) {
         return;
     }
-    json line = {{"time", format_rfc3339(std::chrono::system_clock::now())},
-                 {"level", level_name(level)},
-                 {"process", process_name},
-                 {"event", event}};
+    if (const auto dropped = writer().take_dropped(); dropped > 0) {
+        auto line = line_of(log_level::warning, "log_dropped");
+        line["lines"] = dropped;
+        emit(log_level::warning, line);
+    }
+    auto line = line_of(level, event);
     if (fields.is_object()) {
         line.update(fields);
     }
-    const auto text = line.dump(-1, ' ', false, json::error_handler_t::replace);
-    switch (level) {
-    case log_level::debug:
-    case log_level::info:
-        LOG(INFO) << text;
-        break;
-    case log_level::warning:
-        LOG(WARNING) << text;
-        break;
-    case log_level::error:
-        LOG(ERROR) << text;
-        break;
-    }
+    emit(level, line);
 }
 
 } // namespace endive
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -1,11 +1,13 @@
 #include "ctl/commands.h"
 
 #include "ctl/answers_commands.h"
+#include "ctl/explain.h"
 #include "ctl/text_output.h"
 
 #include <algorithm>
 #include <fstream>
 #include <ostream>
+#include <sstream>
 
 namespace endive::ctl {
 namespace {
@@ -152,6 +154,38 @@
     return name == "submit" ? run_submit(options, clock, client, out) : run_diff(options, clock, client, out);
 }
 
+/// Lines of all files together.
+std::vector<log_line> read_logs(const command_options& options, std::size_t first_file) {
+    if (options.arguments.size() <= first_file) {
+        usage("the command " + options.arguments.front() + " needs the log files of the daemons");
+    }
+    std::stringstream all;
+    for (auto i = first_file; i < options.arguments.size(); ++i) {
+        std::ifstream file{options.arguments[i]};
+        if (!file) {
+            usage("cannot read " + options.arguments[i]);
+        }
+        all << file.rdbuf() << '\n';
+    }
+    return read_log(all);
+}
+
+exit_code run_explain(const command_options& options, std::ostream& out) {
+    const auto lines = read_logs(options, 2);
+    out << explain_request(lines, options.arguments[1]);
+    return exit_code::success;
+}
+
+exit_code run_beliefs(const command_options& options, std::ostream& out) {
+    const auto lines = read_logs(options, 3);
+    const auto time = parse_rfc3339(options.arguments[2]);
+    if (!time) {
+        usage("beliefs needs an RFC 3339 time such as 2026-12-05T05:30:00Z");
+    }
+    out << describe_beliefs(lines, options.arguments[1], format_rfc3339(*time));
+    return exit_code::success;
+}
+
 exit_code dispatch(const command_options& options, const clock_source& clock, std::ostream& out) {
     if (options.arguments.empty()) {
         usage("a command is required");
@@ -178,6 +212,12 @@
         expect_arguments(options, 2);
         return run_action(options, options.arguments[1], name, out);
     }
+    if (name == "explain") {
+        return run_explain(options, out);
+    }
+    if (name == "beliefs") {
+        return run_beliefs(options, out);
+    }
     usage("there is no command " + name);
 }
 
@@ -236,7 +276,9 @@
            "  move pause|resume ID     pause or resume (--if-match)\n"
            "  move extend ID           set a later --deadline (--if-match)\n"
            "  take-back ID             give the new version no more traffic, for ever\n"
-           "  report                   measures and moves of all teams\n";
+           "  report                   measures and moves of all teams\n"
+           "  explain ID FILE...       what happened to a request, from the daemons' logs (offline)\n"
+           "  beliefs DAEMON TIME FILE...  what a daemon believed at a time (offline)\n";
 }
 
 } // namespace endive::ctl
--- a/src/mesh/choice.cpp
+++ b/src/mesh/choice.cpp
@@ -16,7 +16,7 @@
 constexpr duration domain_time = milliseconds{2};
 /// Cost of a crossing to another failure domain, as a probability of being late that is accepted instead:
 /// bytes between domains are paid for.
-constexpr double domain_cost = 0.15;
+constexpr double domain_cost = 0.2;
 /// The same for each byte of the request's body: 60 KB weigh as much as a late answer.
 constexpr double domain_cost_per_byte = 1.0 / (60.0 * 1024);
 /// Extra time for each failure in a row, so that a failing endpoint is tried when the others are busy.
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/endpoint_service.h"
 
+#include "sidecar/events.h"
+
 #include "platform/wire.h"
 
 #include <algorithm>
@@ -132,8 +134,8 @@
         record(*item, true, latency);
     }
     if (connect_failures_ >= connect_failures_until_absent) {
-        log_event(log_level::warning, "endpoint_unreachable",
-                  {{"endpoint", tracker_.current().endpoint_id}, {"failures", connect_failures_}});
+        log(event::endpoint_unreachable,
+            {{"endpoint", tracker_.current().endpoint_id}, {"failures", connect_failures_}});
         update([](mesh::endpoint_tracker& tracker) { tracker.on_unreachable(); });
     }
     reply(item, std::move(message));
@@ -164,9 +166,29 @@
     message.load = gate_.load();
     message.load.accepting = may_start();
     counters_.add("endpoint_" + std::string{to_string(message.why)});
+    if (message.outcome != mesh::attempt_outcome::answered) {
+        log_call(*item, message);
+    }
     item->done(std::move(message));
 }
 
+/// What this daemon knew when it refused a call or lost it.
+void endpoint_service::log_call(const job& item, const reply_message& message) const {
+    const bool not_run = message.outcome == mesh::attempt_outcome::not_run;
+    log(not_run ? event::call_refused : event::call_failed,
+        {{"request", item.call.request_id},
+         {"service", item.call.service},
+         {"endpoint", item.call.endpoint_id},
+         {"current_endpoint", tracker_.current().endpoint_id},
+         {"reason", to_string(message.why)},
+         {"running", gate_.running()},
+         {"waiting", gate_.waiting()},
+         {"service_time_us", message.load.service_time.count() / 1000},
+         {"started", item.started.has_value()},
+         {"remaining_ms", item.call.remaining.count()},
+         {"retry_after_ms", message.retry_after.count()}});
+}
+
 void endpoint_service::refuse(const std::shared_ptr<job>& item, mesh::reason why, duration retry_after) {
     reply_message message;
     message.outcome = mesh::attempt_outcome::not_run;
@@ -230,12 +252,11 @@
     }
     seen_revision_ = tracker_.revision();
     const auto& current = tracker_.current();
-    log_event(log_level::info, "endpoint_changed",
-              {{"endpoint", current.endpoint_id},
-               {"version", current.version},
-               {"state", static_cast<int>(current.state)},
-               {"born", current.born_unix_ms},
-               {"sequence", current.sequence}});
+    log(event::endpoint_changed, {{"endpoint", current.endpoint_id},
+                                  {"version", current.version},
+                                  {"state", static_cast<int>(current.state)},
+                                  {"born", current.born_unix_ms},
+                                  {"sequence", current.sequence}});
     if (current.endpoint_id != current_endpoint_) {
         current_endpoint_ = current.endpoint_id;
         client_.drop_idle();
@@ -272,7 +293,7 @@
         const auto id = find_header(result.response.headers, platform_wire::endpoint_id_header);
         constexpr unsigned status_ok = 200;
         const bool healthy = result.response.status == status_ok;
-        log_event(log_level::info, "endpoint_probed", {{"endpoint", id}, {"status", result.response.status}});
+        log(event::endpoint_probed, {{"endpoint", id}, {"status", result.response.status}});
         const auto slots = slots_of(find_header(result.response.headers, platform_wire::load_header));
         update([&](mesh::endpoint_tracker& tracker) { tracker.on_health(id, healthy, slots.value_or(1)); });
     });
--- a/src/sidecar/endpoint_service.h
+++ b/src/sidecar/endpoint_service.h
@@ -42,6 +42,7 @@
     void reply(const std::shared_ptr<job>& item, reply_message message);
     void refuse(const std::shared_ptr<job>& item, mesh::reason why, duration retry_after);
     void leave_gate(const std::shared_ptr<job>& item, std::optional<duration> service_time);
+    void log_call(const job& item, const reply_message& message) const;
     void record(const job& item, bool failed, duration latency);
     void follow_tracker();
     [[nodiscard]] bool may_start() const { return tracker_.is_ready() && !retired_; }
--- /dev/null
+++ b/src/sidecar/events.h
@@ -0,0 +1,63 @@
+#pragma once
+// The vocabulary of the log: every event of endive_sidecar, in one place. docs/OPERATIONS.md explains each.
+
+#include "endive/base.h"
+
+#include <span>
+
+namespace endive::sidecar {
+
+enum class event : std::uint8_t {
+    started,
+    stopping,
+    stopped,
+    settings_reloaded,
+    settings_rejected,
+    store_lost,
+    store_regained,
+    store_history_gone,
+    store_answer_malformed,
+    store_write_failed,
+    peer_up,
+    peer_down,
+    peer_silent,
+    peer_message_malformed,
+    endpoint_changed,
+    endpoint_probed,
+    endpoint_unreachable,
+    endpoint_silent,
+    endpoint_deregistered,
+    heartbeat_refused,
+    heartbeat_malformed,
+    configuration_in_force,
+    configuration_not_newer,
+    configuration_removed,
+    row_malformed,
+    move_ordered,
+    move_status,
+    move_share,
+    move_version_bad,
+    request_done,
+    request_refused,
+    request_failed,
+    request_abandoned,
+    call_refused,
+    call_failed,
+    accept_failed,
+    summary,
+};
+
+struct event_entry {
+    event value;
+    std::string_view name;
+    log_level level;
+    log_importance importance;
+};
+
+/// Every event in order of the enumeration.
+[[nodiscard]] std::span<const event_entry> all_events();
+
+/// Writes one line. Thread safe.
+void log(event value, const json& fields = {});
+
+} // namespace endive::sidecar
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -1,9 +1,12 @@
 #include "sidecar/forwarder.h"
 
+#include "sidecar/events.h"
+
 #include "platform/wire.h"
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace endive::sidecar {
 namespace {
@@ -23,8 +26,10 @@
 constexpr double load_lifetime_s = 3.0;
 /// Daemons that may refuse one request before its caller is told to come back.
 constexpr std::uint32_t max_refusals = 4;
-/// Part of the shared retry budget that is left unused: calls of repeated requests count as repeats too.
-constexpr double budget_reserve = 0.5;
+/// Part of the shared retry budget that is used: calls of repeated requests count as repeats too, and daemons
+/// that have just restarted begin with a full share.
+constexpr double budget_share = 0.8;
+constexpr double burst_share = 0.5;
 /// Callers learn within two readiness checks that a daemon stops; requests that come until then are served
 /// whatever their deadline.
 constexpr duration full_service_after_stop = milliseconds{2500};
@@ -59,6 +64,22 @@
     return load;
 }
 
+std::string_view outcome_name(mesh::attempt_outcome outcome) {
+    switch (outcome) {
+    case mesh::attempt_outcome::answered:
+        return "answered";
+    case mesh::attempt_outcome::not_run:
+        return "not_run";
+    case mesh::attempt_outcome::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+double to_ms(duration value) {
+    return std::round(std::chrono::duration<double, std::milli>(value).count() * 10) / 10;
+}
+
 std::uint64_t next_random(std::uint64_t& state) {
     state ^= state << 13;
     state ^= state >> 7;
@@ -68,6 +89,18 @@
 
 } // namespace
 
+/// One attempt, with what decided it, for the log.
+struct attempt_trace {
+    std::string daemon;
+    duration expected{0};
+    std::uint32_t outstanding = 0; ///< as last told
+    duration load_age{0};
+    time_point sent;
+    std::string_view outcome = "open";
+    mesh::reason why = mesh::reason::none;
+    duration took{0};
+};
+
 /// One request between its arrival and its answer.
 struct forwarder::flight {
     std::shared_ptr<exchange> from;
@@ -80,8 +113,8 @@
     time_point deadline;
     duration age{0}; ///< since the caller's first request, at arrival
     version_choice version;
-    std::vector<std::string> tried; ///< daemons
-    std::uint32_t sent = 0;         ///< attempts that reached an endpoint, or may have
+    std::vector<attempt_trace> attempts;
+    std::uint32_t sent = 0; ///< attempts that reached an endpoint, or may have
     std::uint32_t refusals = 0;
     duration retry_after{0}; ///< least of the refusals
     mesh::reason last_refusal = mesh::reason::no_endpoint;
@@ -114,6 +147,7 @@
     open_.insert(item);
     from->on_abandoned([this, item] {
         counters_.add("caller_left");
+        log_outcome(event::request_abandoned, *item, 0, mesh::reason::caller_left);
         stop_attempt(*item);
         open_.erase(item);
     });
@@ -152,8 +186,8 @@
         return found->second;
     }
     const double daemons = static_cast<double>(peers_.peers().size() + 1);
-    const double burst = std::max(2.0, static_cast<double>(settings_.retry_slack) * budget_reserve / daemons);
-    return shares_.try_emplace(service, settings_.retry_ratio * budget_reserve, burst).first->second;
+    const double burst = std::max(2.0, static_cast<double>(settings_.retry_slack) * burst_share / daemons);
+    return shares_.try_emplace(service, settings_.retry_ratio * budget_share, burst).first->second;
 }
 
 std::vector<forwarder::option> forwarder::all_options(const std::string& service) const {
@@ -208,7 +242,9 @@
         }
     }
     std::erase_if(options, [&](const option& entry) {
-        return std::find(item.tried.begin(), item.tried.end(), entry.about->daemon) != item.tried.end();
+        return std::any_of(item.attempts.begin(), item.attempts.end(), [&](const attempt_trace& attempt) {
+            return attempt.daemon == entry.about->daemon;
+        });
     });
     return options;
 }
@@ -258,7 +294,9 @@
     }
     const auto& target = options[*chosen];
     const auto daemon = target.about->daemon;
-    item->tried.push_back(daemon);
+    const auto load_age = target.remote == nullptr ? duration{0} : now - target.remote->load_at;
+    item->attempts.push_back(
+        {daemon, mesh::expected_time(target.facts, question), target.facts.load.outstanding, load_age, now});
     const auto number = ++item->attempt_number;
     auto call = make_call(*item, *target.about, now);
     auto done = [this, item, daemon, number](reply_message reply) {
@@ -289,6 +327,10 @@
 void forwarder::on_reply(const std::shared_ptr<flight>& item, const std::string& daemon,
                          reply_message reply) {
     auto* entry = peers_.find(daemon);
+    auto& trace = item->attempts.back();
+    trace.outcome = outcome_name(reply.outcome);
+    trace.why = reply.why;
+    trace.took = clock_.now() - trace.sent;
     const bool safe = item->route->kind == mesh::request_kind::safe;
     if (reply.outcome == mesh::attempt_outcome::not_run) {
         on_not_run(item, reply);
@@ -349,6 +391,10 @@
     response.headers = std::move(reply.headers);
     response.body = std::move(reply.body);
     counters_.add("requests_delivered");
+    latency_.record(clock_.now() - item->arrived);
+    if (!log_is_busy()) {
+        log_outcome(event::request_done, *item, response.status, mesh::reason::none);
+    }
     answer(item, std::move(response));
 }
 
@@ -359,24 +405,13 @@
     std::snprintf(text.data(), text.size(), "%.3f", seconds);
     response.headers.push_back({"Retry-After", text.data()});
     counters_.add("refused_" + std::string{to_string(why)});
-    log_event(log_level::info, "request_refused",
-              {{"request", item->request_id},
-               {"service", item->service},
-               {"reason", to_string(why)},
-               {"refusals", item->refusals},
-               {"retry_after_s", seconds}});
+    log_outcome(event::request_refused, *item, response.status, why);
     answer(item, std::move(response));
 }
 
 void forwarder::fail(const std::shared_ptr<flight>& item, unsigned status, mesh::reason why) {
     counters_.add("failed_" + std::string{to_string(why)});
-    log_event(log_level::info, "request_failed",
-              {{"request", item->request_id},
-               {"service", item->service},
-               {"status", status},
-               {"reason", to_string(why)},
-               {"tried", item->tried},
-               {"sent", item->sent}});
+    log_outcome(event::request_failed, *item, status, why);
     answer(item, own_response(status, std::string{to_string(why)} + "\n"));
 }
 
@@ -386,6 +421,31 @@
     item->from->respond(std::move(response));
 }
 
+/// The request's one line: what was known, what was tried, how it ended.
+void forwarder::log_outcome(event what, const flight& item, unsigned status, mesh::reason why) const {
+    json attempts = json::array();
+    for (const auto& attempt : item.attempts) {
+        attempts.push_back({{"daemon", attempt.daemon},
+                            {"expected_ms", to_ms(attempt.expected)},
+                            {"outstanding", attempt.outstanding},
+                            {"load_age_ms", to_ms(attempt.load_age)},
+                            {"outcome", attempt.outcome},
+                            {"reason", to_string(attempt.why)},
+                            {"ms", to_ms(attempt.took)}});
+    }
+    log(what, {{"request", item.request_id},
+               {"configuration", item.routes ? item.routes->source().version : 0},
+               {"route", item.route == nullptr ? std::string{} : item.route->name},
+               {"service", item.service},
+               {"age_ms", to_ms(item.age)},
+               {"allowed_ms", to_ms(item.deadline - item.arrived)},
+               {"status", status},
+               {"reason", to_string(why)},
+               {"retry_after_ms", to_ms(item.retry_after)},
+               {"attempts", std::move(attempts)},
+               {"ms", to_ms(clock_.now() - item.arrived)}});
+}
+
 void forwarder::stop_attempt(flight& item) {
     ++item.attempt_number;
     if (item.target != nullptr) {
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 // The path of a caller's request: route, endpoint, attempts, the final answer.
 
+#include "sidecar/events.h"
 #include "sidecar/http_server.h"
 #include "sidecar/peer_set.h"
 #include "sidecar/rollouts.h"
@@ -19,6 +20,8 @@
     /// Ends requests whose time is over. Call every few tens of milliseconds.
     void tick(time_point now);
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
+    /// From arrival to answer, of requests that an endpoint answered.
+    [[nodiscard]] const latency_histogram& latency() const { return latency_; }
 
 private:
     struct flight;
@@ -35,6 +38,7 @@
     void fail(const std::shared_ptr<flight>& item, unsigned status, mesh::reason why);
     void answer(const std::shared_ptr<flight>& item, http_message response);
     void stop_attempt(flight& item);
+    void log_outcome(event what, const flight& item, unsigned status, mesh::reason why) const;
     mesh::retry_share& share_of(const std::string& service);
 
     const clock_source& clock_;
@@ -45,6 +49,7 @@
     rollouts& moves_;
     std::shared_ptr<const mesh::route_index> routes_;
     mesh::split_chooser splits_;
+    latency_histogram latency_;
     std::uint64_t random_ = 0x9e3779b97f4a7c15ULL;
     std::map<std::string, mesh::retry_share> shares_;
     mesh::age_estimator ages_;
--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/http_server.h"
 
+#include "sidecar/events.h"
+
 #include <algorithm>
 
 namespace endive::sidecar {
@@ -283,7 +285,7 @@
             return;
         }
         if (code) {
-            log_event(log_level::warning, "accept_failed", {{"reason", code.message()}});
+            log(event::accept_failed, {{"reason", code.message()}});
         } else {
             const auto session =
                 std::make_shared<http_session>(*this, std::make_shared<stream>(std::move(socket)));
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -2,6 +2,8 @@
 
 #include "sidecar/sidecar.h"
 
+#include "sidecar/events.h"
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -10,6 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <unistd.h>
 
 ABSL_FLAG(std::string, settings, "", "path of the JSON settings file; by default the one the platform names");
 ABSL_FLAG(bool, check, false, "read and check the settings, print nothing when they are valid, and exit");
@@ -43,11 +46,11 @@
         }
         try {
             const auto changed = endive::sidecar::read_settings(settings_path());
-            endive::log_event(endive::log_level::info, "settings_reloaded",
-                              {{"changed", changed != settings}});
+            endive::sidecar::log(endive::sidecar::event::settings_reloaded,
+                                 {{"changed", changed != settings}});
         } catch (const endive::error& cause) {
-            endive::log_event(endive::log_level::warning, "settings_rejected",
-                              {{"place", cause.place()}, {"reason", cause.what()}});
+            endive::sidecar::log(endive::sidecar::event::settings_rejected,
+                                 {{"place", cause.place()}, {"reason", cause.what()}});
         }
         reload_signal.async_wait(reload);
     };
@@ -67,13 +70,12 @@
         if (absl::GetFlag(FLAGS_check)) {
             return EXIT_SUCCESS;
         }
-        endive::configure_log(absl::GetFlag(FLAGS_debug_log) ? endive::log_level::debug
-                                                             : endive::log_level::info,
-                              settings.name);
-        endive::log_event(endive::log_level::info, "started",
-                          {{"version", endive::version_text()}, {"service", settings.service}});
+        endive::configure_log(
+            absl::GetFlag(FLAGS_debug_log) ? endive::log_level::debug : endive::log_level::info,
+            settings.name, {STDOUT_FILENO, static_cast<double>(settings.log_lines_per_second)});
+        endive::sidecar::log(endive::sidecar::event::started,
+                             {{"version", endive::version_text()}, {"service", settings.service}});
         run(settings);
-        endive::log_event(endive::log_level::info, "ended");
         return EXIT_SUCCESS;
     } catch (const endive::error& cause) {
         std::cerr << "endive_sidecar: " << endive::to_string(cause.code()) << " ("
--- a/src/sidecar/messages.cpp
+++ b/src/sidecar/messages.cpp
@@ -72,6 +72,7 @@
 
 auto encode_rows(builder& out, const std::vector<mesh::store_row>& rows) {
     std::vector<flatbuffers::Offset<wire::row>> entries;
+    entries.reserve(rows.size());
     for (const auto& row : rows) {
         entries.push_back(wire::Createrow(out, out.CreateString(row.table), out.CreateString(row.key),
                                           out.CreateString(row.value), row.version, row.removed));
@@ -86,10 +87,12 @@
 
 payload_offset encode(builder& out, const announce_message& value) {
     std::vector<flatbuffers::Offset<flatbuffers::String>> members;
+    members.reserve(value.members.size());
     for (const auto& entry : value.members) {
         members.push_back(out.CreateString(mesh::encode(entry)));
     }
     std::vector<flatbuffers::Offset<wire::evidence>> counters;
+    counters.reserve(value.counters.size());
     for (const auto& entry : value.counters) {
         counters.push_back(wire::Createevidence(
             out, out.CreateString(entry.service), out.CreateString(entry.version),
@@ -101,6 +104,7 @@
     const auto load = value.load ? encode_load(out, *value.load) : flatbuffers::Offset<wire::load>{};
     const auto counters_offset = out.CreateVector(counters);
     std::vector<flatbuffers::Offset<wire::progress>> moves;
+    moves.reserve(value.moves.size());
     for (const auto& move : value.moves) {
         moves.push_back(wire::Createprogress(out, out.CreateString(move.service), move.order_version,
                                              move.share, move.bad));
--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/peer_link.h"
 
+#include "sidecar/events.h"
+
 #include <array>
 
 namespace endive::sidecar {
@@ -84,8 +86,8 @@
             on_message(decode_message(*frame));
         }
     } catch (const error& cause) {
-        log_event(log_level::warning, "peer_message_malformed",
-                  {{"peer", daemon_}, {"code", number(cause.code())}, {"reason", cause.what()}});
+        log(event::peer_message_malformed,
+            {{"peer", daemon_}, {"code", number(cause.code())}, {"reason", cause.what()}});
         close();
     }
 }
@@ -143,10 +145,10 @@
     }
     if (pinged_) {
         if (now - *pinged_ > dead_after) {
-            log_event(log_level::warning, "peer_silent",
-                      {{"peer", daemon_},
-                       {"silent_ms", std::chrono::duration_cast<milliseconds>(now - last_heard_).count()},
-                       {"open_calls", pending_.size()}});
+            log(event::peer_silent,
+                {{"peer", daemon_},
+                 {"silent_ms", std::chrono::duration_cast<milliseconds>(now - last_heard_).count()},
+                 {"open_calls", pending_.size()}});
             close();
         }
         return;
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/peer_set.h"
 
+#include "sidecar/events.h"
+
 #include <algorithm>
 
 namespace endive::sidecar {
@@ -11,8 +13,9 @@
 constexpr duration max_dial_pause = milliseconds{800};
 /// Daemons that rows are compared with at a time: a daemon hears from two others on average each time.
 constexpr std::size_t compared_peers = 2;
-/// The store usually delivers a row itself within this time; after it, a peer is asked.
-constexpr duration fetch_after = milliseconds{200};
+/// A store that answers delivers a row itself within this time, the pause between two watches included; after
+/// it, a peer is asked. Rows are large and cross domains, and changes have two seconds to be in force.
+constexpr duration fetch_after = milliseconds{950};
 /// An answer of a peer to a fetch takes at most this long; then another one is asked.
 constexpr duration fetch_patience = milliseconds{500};
 /// A daemon that no link has reached for so long has left for good.
@@ -217,7 +220,7 @@
         entry->link = link;
         entry->dial_pause = duration{0};
         entry->unreachable_since.reset();
-        log_event(log_level::info, "peer_up", {{"peer", link->daemon()}});
+        log(event::peer_up, {{"peer", link->daemon()}});
     }
     if (message.load) {
         on_load(link, *message.load);
@@ -281,7 +284,7 @@
         }
     }
     if (!entry->link) {
-        log_event(log_level::info, "peer_down", {{"peer", link->daemon()}});
+        log(event::peer_down, {{"peer", link->daemon()}});
         entry->next_dial = clock_.now();
         dial(*entry);
     }
@@ -317,7 +320,8 @@
             continue;
         }
         const auto link = wanted.from.lock();
-        if (!wanted.asked && now - wanted.since >= fetch_after && link) {
+        const bool due = !store_answers_ || now - wanted.since >= fetch_after;
+        if (!wanted.asked && due && link) {
             link->send(fetch_message{{wanted.head}});
             wanted.asked = true;
             wanted.since = now;
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -55,6 +55,8 @@
     [[nodiscard]] std::map<std::string, peer>& peers() { return peers_; }
     [[nodiscard]] const std::map<std::string, peer>& peers() const { return peers_; }
     [[nodiscard]] peer* find(const std::string& daemon);
+    /// While the store does not answer, missing rows are fetched from peers at once.
+    void set_store_answers(bool answers) { store_answers_ = answers; }
     /// Dials, pings, forgets. Call every 100 ms or so.
     void tick(time_point now);
     [[nodiscard]] std::size_t link_count() const;
@@ -95,6 +97,7 @@
     };
     /// Rows that others have and this daemon lacks, by table and key.
     std::map<std::pair<std::string, std::string>, wanted_row> wanted_;
+    bool store_answers_ = false;
     bool closed_ = false;
 };
 
--- a/src/sidecar/rollouts.cpp
+++ b/src/sidecar/rollouts.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/rollouts.h"
 
+#include "sidecar/events.h"
+
 #include "platform/wire.h"
 
 #include <algorithm>
@@ -41,11 +43,10 @@
         item.move->on_evidence(daemon, last.start, last.counters);
     }
     apply_status(item);
-    log_event(log_level::info, "move_ordered",
-              {{"service", order.service},
-               {"to", order.to},
-               {"time_allowed_ms", order.time_allowed.count()},
-               {"version", row.version}});
+    log(event::move_ordered, {{"service", order.service},
+                              {"to", order.to},
+                              {"time_allowed_ms", order.time_allowed.count()},
+                              {"version", row.version}});
 }
 
 void rollouts::on_status(const mesh::store_row& row) {
@@ -61,11 +62,10 @@
     item.status_version = row.version;
     item.status = status;
     apply_status(item);
-    log_event(log_level::info, "move_status",
-              {{"service", status.service},
-               {"to", status.to},
-               {"state", static_cast<int>(status.state)},
-               {"version", row.version}});
+    log(event::move_status, {{"service", status.service},
+                             {"to", status.to},
+                             {"state", static_cast<int>(status.state)},
+                             {"version", row.version}});
 }
 
 void rollouts::on_start(std::string_view service, std::uint64_t order_version, wall_time started,
@@ -153,14 +153,13 @@
             follow(item, order, now);
         }
         if (item.move->is_bad() && !was_bad) {
-            log_event(log_level::warning, "move_version_bad",
-                      {{"service", service},
-                       {"to", item.move->order().to},
-                       {"reason", item.move->verdict_reason()}});
+            log(event::move_version_bad, {{"service", service},
+                                          {"to", item.move->order().to},
+                                          {"reason", item.move->verdict_reason()}});
         }
         if (item.move->share() != share) {
-            log_event(log_level::info, "move_share",
-                      {{"service", service}, {"to", item.move->order().to}, {"share", item.move->share()}});
+            log(event::move_share,
+                {{"service", service}, {"to", item.move->order().to}, {"share", item.move->share()}});
         }
         if (item.move->share() < 1.0) {
             item.full_since.reset();
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -33,6 +33,8 @@
     if (port != 0) {
         result.metrics_address = reader.required_string("host") + ":" + std::to_string(port);
     }
+    result.log_lines_per_second =
+        reader.optional_integer("log_lines_per_second", result.log_lines_per_second, 1, 100'000);
     result.memory_mb = reader.optional_integer("memory_mb", result.memory_mb, 16, 1'000'000);
     result.store_address = reader.required_address("store_address");
     result.drain_time = read_time(reader, "drain_time", result.drain_time);
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -16,6 +16,8 @@
     std::string readiness_address;
     std::string announcements_address; ///< heartbeats of the backend server
     std::string metrics_address;
+    /// Log lines a second: enough for each refusal of a busy VM, and some tens of KB.
+    std::int64_t log_lines_per_second = 100;
     std::int64_t memory_mb = 256;
     std::string store_address;
     milliseconds drain_time{2000}; ///< a draining endpoint gets no request later than this
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/sidecar.h"
 
+#include "sidecar/events.h"
+
 #include <algorithm>
 #include <sstream>
 
@@ -29,6 +31,8 @@
 constexpr duration comparison_interval = milliseconds{400};
 constexpr duration quiet_comparison_interval = std::chrono::seconds{3};
 constexpr duration comparison_after_news = std::chrono::seconds{4};
+/// A daemon without an endpoint is entered all the same after this time.
+constexpr duration first_row_patience = std::chrono::seconds{2};
 constexpr duration summary_interval = std::chrono::seconds{10};
 /// Each further daemon waits this much longer before it takes over a duty.
 constexpr duration duty_step = milliseconds{700};
@@ -89,8 +93,8 @@
                   }
               },
               [this](bool healthy) {
-                  log_event(healthy ? log_level::info : log_level::warning,
-                            healthy ? "store_regained" : "store_lost");
+                  log(healthy ? event::store_regained : event::store_lost);
+                  peers_.set_store_answers(healthy);
                   if (healthy) {
                       next_self_write_ = time_point{};
                   }
@@ -112,6 +116,7 @@
 sidecar::~sidecar() = default;
 
 void sidecar::start() {
+    started_ = clock_.now();
     publish_self();
     orders_.start();
     load_table(std::string{own_table}, {}, 0);
@@ -159,19 +164,18 @@
             [&](mesh::endpoint_tracker& tracker) { accepted = tracker.on_heartbeat(beat, clock_.now()); });
         if (!accepted) {
             counters_.add("heartbeat_refused");
-            log_event(log_level::info, "heartbeat_refused",
-                      {{"endpoint", endpoint_id},
-                       {"service", beat.service},
-                       {"address", beat.address},
-                       {"sequence", beat.sequence},
-                       {"born", beat.born_unix_ms},
-                       {"current", local_.tracker().current().endpoint_id}});
+            log(event::heartbeat_refused, {{"endpoint", endpoint_id},
+                                           {"service", beat.service},
+                                           {"address", beat.address},
+                                           {"sequence", beat.sequence},
+                                           {"born", beat.born_unix_ms},
+                                           {"current", local_.tracker().current().endpoint_id}});
         }
         request->respond(json_response(status_ok, json::object()));
     } catch (const error& cause) {
         counters_.add("heartbeat_malformed");
-        log_event(log_level::warning, "heartbeat_malformed",
-                  {{"endpoint", endpoint_id}, {"place", cause.place()}, {"reason", cause.what()}});
+        log(event::heartbeat_malformed,
+            {{"endpoint", endpoint_id}, {"place", cause.place()}, {"reason", cause.what()}});
         request->respond(
             own_response(status_bad_request, std::string{cause.place()} + ": " + cause.what() + "\n"));
     }
@@ -180,7 +184,7 @@
 void sidecar::on_deregister(const std::shared_ptr<exchange>& request, const std::string& endpoint_id) {
     bool known = false;
     local_.update([&](mesh::endpoint_tracker& tracker) { known = tracker.on_deregister(endpoint_id); });
-    log_event(log_level::info, "endpoint_deregistered", {{"endpoint", endpoint_id}, {"current", known}});
+    log(event::endpoint_deregistered, {{"endpoint", endpoint_id}, {"current", known}});
     request->respond(json_response(status_ok, json::object()));
 }
 
@@ -192,6 +196,11 @@
     const auto load = local_.load();
     out << "endive_endpoint_outstanding " << load.outstanding << "\n";
     out << "endive_peer_links " << peers_.link_count() << "\n";
+    for (const double quantile : {0.5, 0.9, 0.99}) {
+        out << "endive_request_seconds{quantile=\"" << quantile << "\"} "
+            << std::chrono::duration<double>(forwarder_.latency().quantile(quantile)).count() << "\n";
+    }
+    out << "endive_request_seconds_count " << forwarder_.latency().count() << "\n";
     request->respond(own_response(status_ok, out.str()));
 }
 
@@ -213,12 +222,11 @@
         }
     } catch (const error& cause) {
         counters_.add("row_malformed");
-        log_event(log_level::warning, "row_malformed",
-                  {{"table", row.table},
-                   {"key", row.key},
-                   {"version", row.version},
-                   {"place", cause.place()},
-                   {"reason", cause.what()}});
+        log(event::row_malformed, {{"table", row.table},
+                                   {"key", row.key},
+                                   {"version", row.version},
+                                   {"place", cause.place()},
+                                   {"reason", cause.what()}});
     }
 }
 
@@ -238,24 +246,23 @@
 
 void sidecar::on_configuration(const mesh::store_row& row) {
     if (row.removed) {
-        log_event(log_level::warning, "configuration_removed", {{"version", row.version}});
+        log(event::configuration_removed, {{"version", row.version}});
         return;
     }
     auto decoded = platform_wire::decode_configuration(row.value);
     if (routes_ && decoded.version <= routes_->source().version) {
-        log_event(log_level::warning, "configuration_not_newer",
-                  {{"configuration", decoded.version}, {"in_force", routes_->source().version}});
+        log(event::configuration_not_newer,
+            {{"configuration", decoded.version}, {"in_force", routes_->source().version}});
         return;
     }
     const bool first = routes_ == nullptr;
     routes_ = std::make_shared<const mesh::route_index>(std::move(decoded));
     callers_.set_limits(routes_->source().limits);
     forwarder_.set_configuration(routes_);
-    log_event(log_level::info, "configuration_in_force",
-              {{"configuration", routes_->source().version},
-               {"row", row.version},
-               {"routes", routes_->source().routes.size()},
-               {"first", first}});
+    log(event::configuration_in_force, {{"configuration", routes_->source().version},
+                                        {"row", row.version},
+                                        {"routes", routes_->source().routes.size()},
+                                        {"first", first}});
 }
 
 void sidecar::on_own_row(const mesh::store_row& row) {
@@ -304,8 +311,8 @@
                             }
                             complete = true;
                         } catch (const error& cause) {
-                            log_event(log_level::warning, "store_answer_malformed",
-                                      {{"table", table}, {"place", cause.place()}, {"reason", cause.what()}});
+                            log(event::store_answer_malformed,
+                                {{"table", table}, {"place", cause.place()}, {"reason", cause.what()}});
                         }
                     }
                     if (!complete) {
@@ -343,13 +350,13 @@
                             }
                         }
                     } catch (const error& cause) {
-                        log_event(log_level::warning, "store_answer_malformed",
-                                  {{"table", row.table}, {"place", cause.place()}, {"reason", cause.what()}});
+                        log(event::store_answer_malformed,
+                            {{"table", row.table}, {"place", cause.place()}, {"reason", cause.what()}});
                     }
                     if (!written) {
                         counters_.add("store_write_failed");
-                        log_event(log_level::info, "store_write_failed",
-                                  {{"table", row.table}, {"key", row.key}, {"status", answer.status}});
+                        log(event::store_write_failed,
+                            {{"table", row.table}, {"key", row.key}, {"status", answer.status}});
                     }
                     done(written);
                 });
@@ -373,7 +380,9 @@
 /// Keeps this daemon's row: others find it there, and a later start of it learns what its endpoint has said.
 void sidecar::write_self() {
     const auto now = clock_.now();
-    if (writing_self_ || written_revision_ == self_.revision || now < next_self_write_) {
+    // The first row waits for the endpoint's identity, which is known within a heartbeat.
+    const bool too_early = self_.endpoint_id.empty() && now < started_ + first_row_patience;
+    if (writing_self_ || too_early || written_revision_ == self_.revision || now < next_self_write_) {
         return;
     }
     writing_self_ = true;
@@ -384,6 +393,10 @@
     write(row, known == nullptr || known->removed ? 0 : known->version, [this, revision](bool written) {
         writing_self_ = false;
         if (written) {
+            // Two daemons that start together find each other: each reads after its own row is there.
+            if (written_revision_ == 0) {
+                load_table(std::string{own_table}, {}, 0);
+            }
             written_revision_ = revision;
         } else {
             next_self_write_ = clock_.now() + store_retry;
@@ -550,7 +563,7 @@
     local_.sweep(now);
     local_.update([&](mesh::endpoint_tracker& tracker) {
         if (tracker.expire(now, settings_.heartbeat_interval * heartbeats_missed)) {
-            log_event(log_level::warning, "endpoint_silent", {{"endpoint", tracker.current().endpoint_id}});
+            log(event::endpoint_silent, {{"endpoint", tracker.current().endpoint_id}});
         }
     });
     if (routes_) {
@@ -596,8 +609,7 @@
             before = value;
         }
     }
-    log_event(
-        log_level::info, "summary",
+    log(event::summary,
         {{"counters", grown}, {"links", peers_.link_count()}, {"outstanding", local_.load().outstanding}});
 }
 
@@ -606,8 +618,7 @@
         return;
     }
     stopping_since_ = clock_.now();
-    log_event(log_level::info, "stopping",
-              {{"open_requests", forwarder_.open_requests()}, {"open_jobs", local_.open_jobs()}});
+    log(event::stopping, {{"open_requests", forwarder_.open_requests()}, {"open_jobs", local_.open_jobs()}});
     callers_.start_draining();
     const auto end = *stopping_since_ + settings_.stop_grace - stop_reserve;
     forwarder_.set_end(*stopping_since_, end);
@@ -623,10 +634,9 @@
     if (!done && elapsed < settings_.stop_grace - stop_reserve) {
         return;
     }
-    log_event(log_level::info, "stopped",
-              {{"elapsed_ms", std::chrono::duration_cast<milliseconds>(elapsed).count()},
-               {"open_requests", forwarder_.open_requests()},
-               {"open_jobs", local_.open_jobs()}});
+    log(event::stopped, {{"elapsed_ms", std::chrono::duration_cast<milliseconds>(elapsed).count()},
+                         {"open_requests", forwarder_.open_requests()},
+                         {"open_jobs", local_.open_jobs()}});
     loop_.stop();
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -48,7 +48,6 @@
     const clock_source& clock_;
     sidecar_settings settings_;
     counter_set counters_;
-    latency_histogram latency_;
     mesh::row_replica rows_;
     endpoint_service local_;
     rollouts moves_;
@@ -69,6 +68,7 @@
     bool members_loaded_ = false;
     bool statuses_loaded_ = false;
     bool writing_self_ = false;
+    time_point started_{};
     time_point next_self_write_{};
     time_point next_member_read_{};
     std::set<std::string> writing_; ///< keys with a write under way
--- a/src/sidecar/store_client.cpp
+++ b/src/sidecar/store_client.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/store_client.h"
 
+#include "sidecar/events.h"
+
 #include <algorithm>
 
 namespace endive::sidecar {
@@ -8,11 +10,14 @@
 constexpr duration connect_patience = milliseconds{1000};
 /// Longest wait of one watch at the store. Each return is a priced call; peers tell of changes that a silent
 /// connection would hide meanwhile.
-constexpr milliseconds watch_wait{20000};
+constexpr milliseconds watch_wait{29000};
 /// A watch that answers this much later than its wait has gone silent.
 constexpr duration watch_slack = milliseconds{1500};
 /// The store answers reads in 4 ms; on slow days it takes up to a hundred times as long.
 constexpr duration read_patience = milliseconds{3000};
+/// After a change the next watch begins this much later: changes in quick succession come with one call, and
+/// each is in force well within the two seconds that it may take.
+constexpr duration pause_after_change = milliseconds{700};
 constexpr duration min_retry_pause = milliseconds{150};
 /// An outage ends unannounced and entries have to be back two seconds later.
 constexpr duration max_retry_pause = milliseconds{700};
@@ -156,7 +161,11 @@
 void table_follower::retry(std::function<void()> step) {
     set_health(false);
     retry_pause_ = std::clamp(retry_pause_ * 2, min_retry_pause, max_retry_pause);
-    pause_.expires_after(retry_pause_);
+    after(retry_pause_, std::move(step));
+}
+
+void table_follower::after(duration pause, std::function<void()> step) {
+    pause_.expires_after(pause);
     pause_.async_wait([this, step = std::move(step)](error_code code) {
         if (!code && !closed_) {
             step();
@@ -165,66 +174,69 @@
 }
 
 void table_follower::read(const std::string& from) {
-    connection_.call(
-        platform_wire::read_rows(table_, from), read_patience, [this, from](const store_answer& answer) {
-            if (closed_) {
-                return;
-            }
-            if (answer.status != status_ok) {
-                retry([this, from] { read(from); });
-                return;
-            }
-            try {
-                const auto page = platform_wire::decode_rows(answer.body);
-                set_health(true);
-                // Changes after the first page are read again by the watch.
-                if (!first_page_version_) {
-                    first_page_version_ = page.version;
-                }
-                on_rows_(page.rows);
-                if (page.has_more && !page.rows.empty()) {
-                    read(page.rows.back().key + '\x01');
-                    return;
-                }
-                version_ = *std::exchange(first_page_version_, std::nullopt);
-                loaded_ = true;
-                watch();
-            } catch (const error& cause) {
-                log_event(log_level::warning, "store_answer_malformed",
-                          {{"table", table_}, {"place", cause.place()}, {"reason", cause.what()}});
-                retry([this, from] { read(from); });
-            }
-        });
+    connection_.call(platform_wire::read_rows(table_, from), read_patience,
+                     [this, from](const store_answer& answer) {
+                         if (closed_) {
+                             return;
+                         }
+                         if (answer.status != status_ok) {
+                             retry([this, from] { read(from); });
+                             return;
+                         }
+                         try {
+                             const auto page = platform_wire::decode_rows(answer.body);
+                             set_health(true);
+                             // Changes after the first page are read again by the watch.
+                             if (!first_page_version_) {
+                                 first_page_version_ = page.version;
+                             }
+                             on_rows_(page.rows);
+                             if (page.has_more && !page.rows.empty()) {
+                                 read(page.rows.back().key + '\x01');
+                                 return;
+                             }
+                             version_ = *std::exchange(first_page_version_, std::nullopt);
+                             loaded_ = true;
+                             watch();
+                         } catch (const error& cause) {
+                             log(event::store_answer_malformed,
+                                 {{"table", table_}, {"place", cause.place()}, {"reason", cause.what()}});
+                             retry([this, from] { read(from); });
+                         }
+                     });
 }
 
 void table_follower::watch() {
-    connection_.call(
-        platform_wire::watch_rows(table_, version_, watch_wait), watch_wait + watch_slack,
-        [this](const store_answer& answer) {
-            if (closed_) {
-                return;
-            }
-            if (answer.status == status_gone) {
-                log_event(log_level::info, "store_history_gone", {{"table", table_}, {"after", version_}});
-                read({});
-                return;
-            }
-            if (answer.status != status_ok) {
-                retry([this] { watch(); });
-                return;
-            }
-            try {
-                const auto page = platform_wire::decode_rows(answer.body);
-                set_health(true);
-                version_ = std::max(version_, page.version);
-                on_rows_(page.rows);
-                watch();
-            } catch (const error& cause) {
-                log_event(log_level::warning, "store_answer_malformed",
-                          {{"table", table_}, {"place", cause.place()}, {"reason", cause.what()}});
-                retry([this] { read({}); });
-            }
-        });
+    connection_.call(platform_wire::watch_rows(table_, version_, watch_wait), watch_wait + watch_slack,
+                     [this](const store_answer& answer) {
+                         if (closed_) {
+                             return;
+                         }
+                         if (answer.status == status_gone) {
+                             log(event::store_history_gone, {{"table", table_}, {"after", version_}});
+                             read({});
+                             return;
+                         }
+                         if (answer.status != status_ok) {
+                             retry([this] { watch(); });
+                             return;
+                         }
+                         try {
+                             const auto page = platform_wire::decode_rows(answer.body);
+                             set_health(true);
+                             version_ = std::max(version_, page.version);
+                             if (page.rows.empty()) {
+                                 watch();
+                                 return;
+                             }
+                             on_rows_(page.rows);
+                             after(pause_after_change, [this] { watch(); });
+                         } catch (const error& cause) {
+                             log(event::store_answer_malformed,
+                                 {{"table", table_}, {"place", cause.place()}, {"reason", cause.what()}});
+                             retry([this] { read({}); });
+                         }
+                     });
 }
 
 } // namespace endive::sidecar
--- a/src/sidecar/store_client.h
+++ b/src/sidecar/store_client.h
@@ -63,6 +63,7 @@
     void read(const std::string& from);
     void watch();
     void retry(std::function<void()> step);
+    void after(duration pause, std::function<void()> step);
     void set_health(bool healthy);
 
     store_connection connection_;
--- /dev/null
+++ b/tests/sidecar/path_test.cpp
@@ -0,0 +1,192 @@
+// The whole path on loopback: daemons, a store stand-in and backend servers in one event loop.
+
+#include "sidecar/sidecar.h"
+
+#include "sidecar/store_stand_in.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endive;
+using namespace endive::sidecar;
+using namespace endive::sidecar::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string configuration(int version, const std::string& service) {
+    const json limits{{"MaxHeaderBytes", 16384},
+                      {"MaxBodyBytes", 1000000},
+                      {"HeaderTimeout", "3000ms"},
+                      {"IdleTimeout", "15000ms"}};
+    const json route{{"Hostname", "a.example"}, {"Prefix", "/x/"},           {"RouteType", "safe"},
+                     {"Timeout", "5000ms"},     {"TargetLatency", "1000ms"}, {"Service", service},
+                     {"MaxAttempts", 2}};
+    const json resources =
+        json::array({{{"ResourceType", "Routes"}, {"Metadata", {{"Name", "r"}}}, {"Spec", route}},
+                     {{"ResourceType", "Services"},
+                      {"Metadata", {{"Name", service}}},
+                      {"Spec", {{"HealthCheck", "/health"}, {"MaxConnections", 100}}}},
+                     {{"ResourceType", "Limits"}, {"Metadata", json::object()}, {"Spec", limits}}});
+    return json{{"Version", "r" + std::to_string(version)}, {"Resources", resources}}.dump();
+}
+
+/// One VM: a backend server and the daemon beside it.
+struct vm {
+    vm(boost::asio::io_context& loop, const clock_source& clock, const store_stand_in& store,
+       const std::string& name, const std::string& service)
+        : endpoint_id{"i-" + name}, endpoint_address{free_address()},
+          backend{loop, clock, endpoint_address,
+                  [this](const std::shared_ptr<exchange>& call) { serve(call); }} {
+        settings.name = name;
+        settings.service = service;
+        settings.endpoint_address = endpoint_address;
+        settings.failure_domain = "z";
+        settings.callers_address = free_address();
+        settings.peers_address = free_address();
+        settings.readiness_address = free_address();
+        settings.announcements_address = free_address();
+        settings.store_address = store.address();
+        daemon = std::make_unique<endive::sidecar::sidecar>(loop, clock, settings);
+        daemon->start();
+    }
+
+    void serve(const std::shared_ptr<exchange>& call) {
+        http_message response;
+        response.status = 200;
+        const auto& request = call->request();
+        if (request.target == "/health") {
+            response.headers.push_back({std::string{platform_wire::endpoint_id_header}, endpoint_id});
+            response.headers.push_back({std::string{platform_wire::load_header}, "0,0,4"});
+        } else {
+            const auto id = std::string{find_header(request.headers, platform_wire::request_id_header)};
+            expected_ids.push_back(
+                std::string{find_header(request.headers, platform_wire::expected_endpoint_header)});
+            callers.push_back(
+                std::string{find_header(request.headers, platform_wire::caller_service_header)});
+            response.headers.push_back({std::string{platform_wire::request_id_header}, id});
+            response.body = "served by " + endpoint_id;
+        }
+        call->respond(std::move(response));
+    }
+
+    std::string heartbeat(std::uint64_t sequence, const std::string& state = "ready") const {
+        const json body{{"Service", settings.service},
+                        {"Address", endpoint_address},
+                        {"Zone", "z"},
+                        {"Version", "v1"},
+                        {"Slots", 4},
+                        {"State", state},
+                        {"ColdRemaining", "0ms"},
+                        {"Sequence", sequence},
+                        {"born", 1000}};
+        const auto text = body.dump();
+        return "POST /-/rpc?call=instances.heartbeat&of=" + endpoint_id +
+               " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+    }
+
+    std::string endpoint_id;
+    std::string endpoint_address;
+    http_server backend;
+    sidecar_settings settings;
+    std::vector<std::string> expected_ids;
+    std::vector<std::string> callers;
+    std::unique_ptr<endive::sidecar::sidecar> daemon;
+};
+
+struct mesh_fixture {
+    boost::asio::io_context loop;
+    system_clock_source clock;
+    store_stand_in store{loop, clock};
+
+    /// The response of the daemon at `address`, asked again until it contains `wanted`.
+    std::string ask(const std::string& address, const std::string& wanted) {
+        std::string last;
+        for (int i = 0; i < 200; ++i) {
+            raw_client client{loop, address};
+            client.send("GET /x/1 HTTP/1.1\r\nHost: a.example\r\n" +
+                        std::string{platform_wire::request_id_header} + ": id" + std::to_string(i) + "\r\n" +
+                        std::string{platform_wire::remaining_time_header} +
+                        ": 4000\r\nConnection: close\r\n\r\n");
+            run_until(loop, [&] { return client.ended(); });
+            last = client.received();
+            if (last.find(wanted) != std::string::npos) {
+                return last;
+            }
+            for (int k = 0; k < 10; ++k) {
+                loop.run_one_for(10ms);
+            }
+        }
+        return last;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a request crosses the daemons beside caller and backend server") {
+    mesh_fixture f;
+    f.store.put("op", "config", configuration(3, "books"));
+    vm front{f.loop, f.clock, f.store, "vm-a", "web"};
+    vm back{f.loop, f.clock, f.store, "vm-b", "books"};
+    const auto answer = f.ask(front.settings.callers_address, "served by i-vm-b");
+    CHECK(answer.find("served by i-vm-b") != std::string::npos);
+    REQUIRE_FALSE(back.expected_ids.empty());
+    CHECK(back.expected_ids.back() == "i-vm-b");
+    CHECK(back.callers.back() == "web");
+}
+
+// Failure: each daemon read the members before its own row was there, and two that started together never
+// met.
+TEST_CASE("daemons that start at the same moment find each other") {
+    mesh_fixture f;
+    f.store.put("op", "config", configuration(3, "books"));
+    // Both read the empty table of members before either has written its row.
+    f.store.hold_reads("endiveledge");
+    vm front{f.loop, f.clock, f.store, "vm-a", "web"};
+    vm back{f.loop, f.clock, f.store, "vm-b", "books"};
+    for (int i = 0; i < 20; ++i) {
+        f.loop.run_one_for(5ms);
+    }
+    f.store.release_reads();
+    CHECK(f.ask(front.settings.callers_address, "served by").find("served by i-vm-b") != std::string::npos);
+}
+
+TEST_CASE("a daemon without the store learns of configurations from the others") {
+    mesh_fixture f;
+    f.store.put("op", "config", configuration(3, "books"));
+    vm front{f.loop, f.clock, f.store, "vm-a", "web"};
+    vm back{f.loop, f.clock, f.store, "vm-b", "books"};
+    REQUIRE(f.ask(front.settings.callers_address, "served by").find("served by") != std::string::npos);
+    // A third VM gets answers from the store only until it has entered itself.
+    store_stand_in cut_off{f.loop, f.clock};
+    cut_off.put("endiveledge", "member/vm-b", f.store.find("endiveledge", "member/vm-b")->value);
+    vm late{f.loop, f.clock, cut_off, "vm-c", "web"};
+    CHECK(f.ask(late.settings.callers_address, "served by i-vm-b").find("served by i-vm-b") !=
+          std::string::npos);
+}
+
+TEST_CASE("a draining endpoint gets no new request, and its callers are told so at once") {
+    mesh_fixture f;
+    f.store.put("op", "config", configuration(3, "books"));
+    vm front{f.loop, f.clock, f.store, "vm-a", "web"};
+    vm back{f.loop, f.clock, f.store, "vm-b", "books"};
+    REQUIRE(f.ask(front.settings.callers_address, "served by").find("served by") != std::string::npos);
+    raw_client endpoint{f.loop, back.settings.announcements_address};
+    endpoint.send(back.heartbeat(1));
+    REQUIRE(endpoint.expect("200 OK"));
+    endpoint.send(back.heartbeat(2, "draining"));
+    REQUIRE(endpoint.expect("200 OK", 2));
+    const auto runs = back.expected_ids.size();
+    const auto answer = f.ask(front.settings.callers_address, "503");
+    CHECK(answer.find("Retry-After") != std::string::npos);
+    CHECK(back.expected_ids.size() == runs);
+}
+
+TEST_CASE("what a daemon cannot route it says at once: no configuration 503, no route 404") {
+    mesh_fixture f;
+    vm front{f.loop, f.clock, f.store, "vm-a", "web"};
+    CHECK(f.ask(front.settings.callers_address, "503").find("no_configuration") != std::string::npos);
+    auto other = configuration(3, "books");
+    other.replace(other.find("/x/"), 3, "/y/");
+    f.store.put("op", "config", other);
+    CHECK(f.ask(front.settings.callers_address, "404").find("no_route") != std::string::npos);
+}
--- /dev/null
+++ b/tests/sidecar/store_stand_in.h
@@ -0,0 +1,149 @@
+#pragma once
+// A stand-in of the platform's metadata store on the event loop of a test: rows, conditional writes, the
+// feed.
+
+#include "platform/wire.h"
+
+#include "sidecar/http_server.h"
+#include "sidecar/loopback.h"
+
+namespace endive::sidecar::test {
+
+class store_stand_in {
+public:
+    store_stand_in(boost::asio::io_context& loop, const clock_source& clock)
+        : address_{free_address()}, server_{loop, clock, address_,
+                                            [this](const std::shared_ptr<exchange>& call) { handle(call); }} {
+    }
+
+    [[nodiscard]] const std::string& address() const { return address_; }
+    /// What the operator writes.
+    void put(const std::string& table, const std::string& key, const std::string& value) {
+        rows_[{table, key}] = {table, key, value, ++version_, false};
+        answer_watches();
+    }
+    [[nodiscard]] std::optional<mesh::store_row> find(const std::string& table,
+                                                      const std::string& key) const {
+        const auto found = rows_.find({table, key});
+        return found == rows_.end() ? std::nullopt : std::optional{found->second};
+    }
+    /// While true, every call gets 503.
+    void set_away(bool away) { away_ = away; }
+    /// Reads of this table are answered at `release_reads` with what the table held when they came.
+    void hold_reads(std::string table) { held_table_ = std::move(table); }
+    void release_reads() {
+        held_table_.clear();
+        for (const auto& [call, rows] : std::exchange(held_, {})) {
+            reply(call, 200, rows);
+        }
+    }
+    [[nodiscard]] int calls() const { return calls_; }
+
+private:
+    struct watch {
+        std::shared_ptr<exchange> call;
+        std::string table;
+        std::uint64_t after = 0;
+    };
+
+    static std::string parameter(const std::string& target, const std::string& name) {
+        const auto at = target.find(name + "=");
+        if (at == std::string::npos) {
+            return {};
+        }
+        const auto start = at + name.size() + 1;
+        return target.substr(start, target.find('&', start) - start);
+    }
+
+    static void reply(const std::shared_ptr<exchange>& call, unsigned status, const json& body) {
+        http_message response;
+        response.status = status;
+        response.body = body.dump();
+        call->respond(std::move(response));
+    }
+
+    [[nodiscard]] json page(const std::vector<mesh::store_row>& rows) const {
+        json list = json::array();
+        for (const auto& row : rows) {
+            // The adapter's own encoding of a write is the store's encoding of a value.
+            const auto write = json::parse(platform_wire::write_row(nullptr, row).body);
+            auto entry = write["Writes"][0];
+            entry["Ver"] = row.version;
+            list.push_back(entry);
+        }
+        return {{"Rows", list}, {"HasMore", false}, {"Ver", version_}, {"Now", "1ms"}};
+    }
+
+    [[nodiscard]] std::vector<mesh::store_row> rows_of(const std::string& table, std::uint64_t after) const {
+        std::vector<mesh::store_row> result;
+        for (const auto& [key, row] : rows_) {
+            if (row.table == table && row.version > after) {
+                result.push_back(row);
+            }
+        }
+        return result;
+    }
+
+    void handle(const std::shared_ptr<exchange>& call) {
+        ++calls_;
+        const auto& request = call->request();
+        if (away_) {
+            reply(call, 503, json::object());
+            return;
+        }
+        const auto table = parameter(request.target, "TableName");
+        if (request.target.starts_with("/-/rows-get")) {
+            if (table == held_table_) {
+                held_.emplace_back(call, page(rows_of(table, 0)));
+                return;
+            }
+            reply(call, 200, page(rows_of(table, 0)));
+        } else if (request.target.starts_with("/-/rows-feed")) {
+            watches_.push_back({call, table, std::stoull(parameter(request.target, "after"))});
+            answer_watches();
+        } else {
+            transact(call, json::parse(request.body));
+        }
+    }
+
+    void transact(const std::shared_ptr<exchange>& call, const json& body) {
+        for (const auto& condition : body["ExpectedRev"]) {
+            const auto found = find(condition["TableName"], condition["Key"]);
+            if ((found ? found->version : 0) != condition["Ver"].get<std::uint64_t>()) {
+                reply(call, 412, page(found ? std::vector{*found} : std::vector<mesh::store_row>{}));
+                return;
+            }
+        }
+        for (const auto& write : body["Writes"]) {
+            json entry = write;
+            entry["Ver"] = version_ + 1;
+            const auto row =
+                platform_wire::decode_rows(json{{"Rows", json::array({entry})}}.dump()).rows.at(0);
+            put(row.table, row.key, row.value);
+        }
+        reply(call, 200, {{"Ver", version_}, {"Now", "1ms"}});
+    }
+
+    void answer_watches() {
+        for (const auto& waiting : std::exchange(watches_, {})) {
+            const auto rows = rows_of(waiting.table, waiting.after);
+            if (rows.empty()) {
+                watches_.push_back(waiting);
+            } else {
+                reply(waiting.call, 200, page(rows));
+            }
+        }
+    }
+
+    std::string address_;
+    std::map<std::pair<std::string, std::string>, mesh::store_row> rows_;
+    std::uint64_t version_ = 0;
+    std::vector<watch> watches_;
+    std::string held_table_;
+    std::vector<std::pair<std::shared_ptr<exchange>, json>> held_;
+    bool away_ = false;
+    int calls_ = 0;
+    http_server server_;
+};
+
+} // namespace endive::sidecar::test
