--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -400,7 +400,6 @@
 
 struct rollout_settings {
     double exposure_share = 0.1; ///< most requests that an unproven version may get
-    std::uint32_t exposure_slack = 50;
     friend auto operator<=>(const rollout_settings&, const rollout_settings&) = default;
 };
 
--- a/src/mesh/rollout.cpp
+++ b/src/mesh/rollout.cpp
@@ -12,7 +12,10 @@
     double share;
     double answers;
 };
-constexpr std::array steps{step{0.0, 0.05, 0}, step{0.45, 0.25, 20}, step{0.6, 1.0, 50}};
+constexpr std::array steps{step{0.45, 0.25, 20}, step{0.6, 1.0, 50}};
+/// The first step takes this part of the share that an unproven version may get: the next step needs the
+/// rest.
+constexpr double first_step_part = 0.5;
 /// From this part of the time on, fewer answers have to do: a service with little traffic moves too.
 constexpr double hurry_from = 0.72;
 constexpr double hurry_answers = 8;
@@ -142,7 +145,7 @@
     const auto pooled = evidence.find(all_routes);
     const double answers =
         pooled == evidence.end() ? 0 : pooled->second[1].answered + pooled->second[1].failed;
-    double share = 0;
+    double share = settings_.exposure_share * first_step_part;
     for (const auto& candidate_step : steps) {
         const double wanted =
             part >= hurry_from ? std::min(candidate_step.answers, hurry_answers) : candidate_step.answers;
--- a/src/sidecar/events.cpp
+++ b/src/sidecar/events.cpp
@@ -23,6 +23,7 @@
     event_entry{peer_up, "peer_up", info, lifecycle},
     event_entry{peer_down, "peer_down", info, lifecycle},
     event_entry{peer_silent, "peer_silent", warning, lifecycle},
+    event_entry{peer_forgotten, "peer_forgotten", info, lifecycle},
     event_entry{peer_message_malformed, "peer_message_malformed", warning, lifecycle},
     event_entry{endpoint_changed, "endpoint_changed", info, lifecycle},
     event_entry{endpoint_probed, "endpoint_probed", info, lifecycle},
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -21,6 +21,7 @@
     peer_up,
     peer_down,
     peer_silent,
+    peer_forgotten,
     peer_message_malformed,
     endpoint_changed,
     endpoint_probed,
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -24,6 +24,9 @@
 constexpr std::uint32_t avoided_failures = 6;
 /// Requests last well under this time, so a load that is this old is over.
 constexpr double load_lifetime_s = 3.0;
+/// Bodies may take this part of the process's memory: each stands up to three times on its way, in the
+/// request, the call and the frame.
+constexpr std::size_t body_memory_part = 6;
 /// Daemons that may refuse one request before its caller is told to come back.
 constexpr std::uint32_t max_refusals = 4;
 /// Part of the shared retry budget that is used. Calls that a repeated run makes count as repeats at the
@@ -112,6 +115,7 @@
     header_list headers;
     time_point arrived;
     time_point deadline;
+    std::size_t body_bytes = 0;
     duration age{0}; ///< since the caller's first request, at arrival
     version_choice version;
     std::vector<attempt_trace> attempts;
@@ -145,13 +149,19 @@
     item->arrived = from->arrived();
     auto& request = from->request();
     item->request_id = find_header(request.headers, platform_wire::request_id_header);
+    item->body_bytes = request.body.size();
+    held_bytes_ += item->body_bytes;
     open_.insert(item);
     from->on_abandoned([this, item] {
         counters_.add("caller_left");
         log_outcome(event::request_abandoned, *item, 0, mesh::reason::caller_left);
         stop_attempt(*item);
-        open_.erase(item);
+        forget(item);
     });
+    if (held_bytes_ > body_budget()) {
+        refuse(item, mesh::reason::memory, retry_without_endpoint);
+        return;
+    }
     if (!routes_) {
         refuse(item, mesh::reason::no_configuration, retry_without_endpoint);
         return;
@@ -346,21 +356,21 @@
         deliver(item, std::move(reply));
         return;
     }
+    const auto why = reply.why;
     if (reply.outcome == mesh::attempt_outcome::answered) {
         item->failed_answer = std::move(reply);
     }
     if (safe && may_repeat(*item)) {
-        counters_.add("retry_" +
-                      std::string{to_string(item->failed_answer ? mesh::reason::none : reply.why)});
+        counters_.add("retry_" + std::string{to_string(why)});
         attempt(item);
         return;
     }
     if (item->failed_answer) {
         deliver(item, std::move(*item->failed_answer));
-    } else if (reply.why == mesh::reason::timed_out) {
-        fail(item, status_gateway_timeout, reply.why);
+    } else if (why == mesh::reason::timed_out) {
+        fail(item, status_gateway_timeout, why);
     } else {
-        fail(item, status_bad_gateway, reply.why);
+        fail(item, status_bad_gateway, why);
     }
 }
 
@@ -417,7 +427,7 @@
 }
 
 void forwarder::answer(const std::shared_ptr<flight>& item, http_message response) {
-    open_.erase(item);
+    forget(item);
     stop_attempt(*item);
     item->from->respond(std::move(response));
 }
@@ -447,6 +457,17 @@
                {"ms", to_ms(clock_.now() - item.arrived)}});
 }
 
+void forwarder::forget(const std::shared_ptr<flight>& item) {
+    if (open_.erase(item) > 0) {
+        held_bytes_ -= item->body_bytes;
+    }
+}
+
+std::size_t forwarder::body_budget() const {
+    constexpr std::size_t bytes_per_mb = 1024UL * 1024;
+    return static_cast<std::size_t>(settings_.memory_mb) * bytes_per_mb / body_memory_part;
+}
+
 void forwarder::stop_attempt(flight& item) {
     ++item.attempt_number;
     if (item.target != nullptr) {
@@ -465,7 +486,7 @@
     }
     for (const auto& item : expired) {
         if (item->from->finished()) {
-            open_.erase(item);
+            forget(item);
         } else if (item->failed_answer) {
             deliver(item, std::move(*item->failed_answer));
         } else {
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -38,6 +38,9 @@
     void fail(const std::shared_ptr<flight>& item, unsigned status, mesh::reason why);
     void answer(const std::shared_ptr<flight>& item, http_message response);
     void stop_attempt(flight& item);
+    void forget(const std::shared_ptr<flight>& item);
+    /// Bytes of request bodies that may be held at a time.
+    [[nodiscard]] std::size_t body_budget() const;
     void log_outcome(event what, const flight& item, unsigned status, mesh::reason why) const;
     mesh::retry_share& share_of(const std::string& service);
 
@@ -50,6 +53,7 @@
     std::shared_ptr<const mesh::route_index> routes_;
     mesh::split_chooser splits_;
     latency_histogram latency_;
+    std::size_t held_bytes_ = 0; ///< of request bodies
     std::uint64_t random_ = 0x9e3779b97f4a7c15ULL;
     std::map<std::string, mesh::retry_share> shares_;
     mesh::age_estimator ages_;
--- a/src/sidecar/rollouts.h
+++ b/src/sidecar/rollouts.h
@@ -25,8 +25,7 @@
 /// Not thread safe.
 class rollouts {
 public:
-    explicit rollouts(const sidecar_settings& settings)
-        : settings_{settings.exposure_share, static_cast<std::uint32_t>(settings.exposure_slack)} {}
+    explicit rollouts(const sidecar_settings& settings) : settings_{settings.exposure_share} {}
     /// Rows of the operator, of statuses or of move starts.
     void on_order(const mesh::store_row& row, time_point now);
     void on_status(const mesh::store_row& row);
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -37,13 +37,10 @@
         reader.optional_integer("log_lines_per_second", result.log_lines_per_second, 1, 100'000);
     result.memory_mb = reader.optional_integer("memory_mb", result.memory_mb, 16, 1'000'000);
     result.store_address = reader.required_address("store_address");
-    result.drain_time = read_time(reader, "drain_time", result.drain_time);
     result.stop_grace = read_time(reader, "stop_grace", result.stop_grace);
     result.retry_ratio = reader.optional_number("retry_ratio", result.retry_ratio, 0.0, 10.0);
     result.retry_slack = reader.optional_integer("retry_slack", result.retry_slack, 0, 1'000'000);
-    result.retry_window = read_time(reader, "retry_window", result.retry_window);
     result.exposure_share = reader.optional_number("exposure_share", result.exposure_share, 0.0, 1.0);
-    result.exposure_slack = reader.optional_integer("exposure_slack", result.exposure_slack, 0, 1'000'000);
     return result;
 }
 
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -20,13 +20,10 @@
     std::int64_t log_lines_per_second = 100;
     std::int64_t memory_mb = 256;
     std::string store_address;
-    milliseconds drain_time{2000}; ///< a draining endpoint gets no request later than this
     milliseconds stop_grace{6000}; ///< from SIGTERM until the process is killed
     double retry_ratio = 0.2;      ///< repeats a request that all daemons together may send
     std::int64_t retry_slack = 60; ///< repeats in a window beyond the ratio
-    milliseconds retry_window{10000};
-    double exposure_share = 0.1;
-    std::int64_t exposure_slack = 50;
+    double exposure_share = 0.1;   ///< most of a service's requests that an unproven version may get
     friend bool operator==(const sidecar_settings&, const sidecar_settings&) = default;
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -599,6 +599,7 @@
     advance_moves(now);
     compare_rows(now);
     log_summary(now);
+    remove_gone(now);
     local_.set_retired(moves_.is_retired(self_.service, self_.version, now));
     if (members_loaded_ && statuses_loaded_ && !stopping_since_) {
         write_due_statuses(now);
@@ -619,6 +620,27 @@
     }
 }
 
+/// Forgets daemons that left for good; one of the others drops their rows, which never expire.
+void sidecar::remove_gone(time_point now) {
+    for (const auto& about : peers_.long_gone(now)) {
+        const auto key = std::string{member_prefix} + about.daemon;
+        const auto* row = rows_.find(own_table, key);
+        if (row != nullptr && !row->removed && duty_rank(key) == 0) {
+            const platform_wire::row_condition condition{row->table, key, row->version};
+            store_.call(platform_wire::remove_row(condition), store_patience,
+                        [this, key](const store_answer& answer) {
+                            if (answer.status != status_ok) {
+                                counters_.add("store_write_failed");
+                                log(event::store_write_failed,
+                                    {{"table", own_table}, {"key", key}, {"status", answer.status}});
+                            }
+                        });
+        }
+        log(event::peer_forgotten, {{"peer", about.daemon}});
+        peers_.forget(about.daemon);
+    }
+}
+
 /// The counters that grew since the last summary, for an engineer who has only the log.
 void sidecar::log_summary(time_point now) {
     if (now < next_summary_) {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -40,6 +40,7 @@
     [[nodiscard]] duration fetch_delay() const;
     void compare_rows(time_point now);
     void log_summary(time_point now);
+    void remove_gone(time_point now);
     void tick();
     void slow_tick(time_point now);
     void finish_stop(time_point now);
--- a/tests/sidecar/path_test.cpp
+++ b/tests/sidecar/path_test.cpp
@@ -33,7 +33,7 @@
 /// One VM: a backend server and the daemon beside it.
 struct vm {
     vm(boost::asio::io_context& loop, const clock_source& clock, const store_stand_in& store,
-       const std::string& name, const std::string& service)
+       const std::string& name, const std::string& service, std::int64_t memory_mb = 256)
         : endpoint_id{"i-" + name}, endpoint_address{free_address()},
           backend{loop, clock, endpoint_address,
                   [this](const std::shared_ptr<exchange>& call) { serve(call); }} {
@@ -46,6 +46,7 @@
         settings.readiness_address = free_address();
         settings.announcements_address = free_address();
         settings.store_address = store.address();
+        settings.memory_mb = memory_mb;
         daemon = std::make_unique<endive::sidecar::sidecar>(loop, clock, settings);
         daemon->start();
     }
@@ -187,6 +188,40 @@
     CHECK(run_until(f.loop, [&] { return silent.calls() > calls; }));
 }
 
+// Failure: rows of replaced VMs stayed for ever, and every daemon went on dialing them.
+TEST_CASE("the row of a daemon that left for good is dropped") {
+    boost::asio::io_context loop;
+    manual_clock clock;
+    store_stand_in store{loop, clock};
+    mesh::member gone;
+    gone.daemon = "vm-gone";
+    gone.daemon_start_unix_ms = 1;
+    gone.address = free_address();
+    store.put("endiveledge", "member/vm-gone", mesh::encode(gone));
+    vm only{loop, clock, store, "vm-a", "web"};
+    const bool dropped = run_until(loop, [&] {
+        clock.advance(200ms);
+        return !store.find("endiveledge", "member/vm-gone").has_value();
+    });
+    CHECK(dropped);
+    CHECK(store.find("endiveledge", "member/vm-a").has_value());
+}
+
+TEST_CASE("bodies beyond the memory for them are refused at once") {
+    mesh_fixture f;
+    f.store.put("op", "config", configuration(3, "books"));
+    vm front{f.loop, f.clock, f.store, "vm-a", "web"};
+    vm small{f.loop, f.clock, f.store, "vm-s", "web", 1};
+    vm back{f.loop, f.clock, f.store, "vm-b", "books"};
+    REQUIRE(f.ask(small.settings.callers_address, "served by").find("served by") != std::string::npos);
+    raw_client client{f.loop, small.settings.callers_address};
+    const std::string body(300000, 'x');
+    client.send("POST /x/1 HTTP/1.1\r\nHost: a.example\r\n" + std::string{platform_wire::request_id_header} +
+                ": big\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    CHECK(client.expect("memory"));
+    CHECK(client.received().find("503") != std::string::npos);
+}
+
 TEST_CASE("a draining endpoint gets no new request, and its callers are told so at once") {
     mesh_fixture f;
     f.store.put("op", "config", configuration(3, "books"));
--- a/tests/sidecar/store_stand_in.h
+++ b/tests/sidecar/store_stand_in.h
@@ -121,6 +121,10 @@
                 platform_wire::decode_rows(json{{"Rows", json::array({entry})}}.dump()).rows.at(0);
             put(row.table, row.key, row.value);
         }
+        for (const auto& dropped : body["Remove"]) {
+            rows_.erase({dropped["TableName"].get<std::string>(), dropped["Key"].get<std::string>()});
+            ++version_;
+        }
         reply(call, 200, {{"Ver", version_}, {"Now", "1ms"}});
     }
 
