--- a/src/sidecar/rollouts.cpp
+++ b/src/sidecar/rollouts.cpp
@@ -196,11 +196,13 @@
         return false;
     }
     const auto& item = found->second;
+    const auto final = item.move->final_state();
     if (version == item.move->order().to) {
-        return item.move->final_state() == mesh::rollout_state::rolled_back;
+        return final == mesh::rollout_state::rolled_back;
     }
-    return item.move->final_state() == mesh::rollout_state::completed ||
-           (item.full_since && now - *item.full_since > retire_after);
+    // After a roll-back the old version takes all traffic again, however far the move had come.
+    return final ? final == mesh::rollout_state::completed
+                 : item.full_since && now - *item.full_since > retire_after;
 }
 
 std::vector<status_write>
