--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -332,11 +332,11 @@
     [[nodiscard]] duration age(const std::string& route, milliseconds remaining, time_point now);
 
 private:
-    struct entry {
-        milliseconds longest{0};
+    struct longest_time {
+        milliseconds value{0};
         time_point seen{};
     };
-    std::unordered_map<std::string, entry> routes_;
+    std::unordered_map<std::string, longest_time> routes_;
 };
 
 /// How one attempt at an endpoint ended.
--- a/src/mesh/gate.cpp
+++ b/src/mesh/gate.cpp
@@ -215,12 +215,12 @@
 }
 
 duration age_estimator::age(const std::string& route, milliseconds remaining, time_point now) {
-    auto& entry = routes_[route];
-    const bool forgotten = now - entry.seen > longest_kept;
-    if (remaining >= entry.longest || forgotten) {
-        entry = {remaining, now};
+    auto& longest = routes_[route];
+    const bool forgotten = now - longest.seen > longest_kept;
+    if (remaining >= longest.value || forgotten) {
+        longest = {remaining, now};
     }
-    const auto age = entry.longest - remaining;
+    const auto age = longest.value - remaining;
     return age < least_age ? duration{0} : duration{age};
 }
 
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -449,7 +449,7 @@
                {"route", item.route == nullptr ? std::string{} : item.route->name},
                {"service", item.service},
                {"age_ms", to_ms(item.age)},
-               {"allowed_ms", to_ms(item.deadline - item.arrived)},
+               {"allowed_ms", item.route == nullptr ? 0.0 : to_ms(item.deadline - item.arrived)},
                {"status", status},
                {"reason", to_string(why)},
                {"retry_after_ms", to_ms(item.retry_after)},
--- a/src/sidecar/rollouts.cpp
+++ b/src/sidecar/rollouts.cpp
@@ -230,14 +230,10 @@
     std::vector<active_move> result;
     for (const auto& [service, item] : services_) {
         if (item.move && !item.move->final_state() && !item.start_recorded) {
-            result.push_back({item.order_version, service, false});
+            result.push_back({item.order_version, service});
         }
     }
     return result;
 }
 
-void rollouts::mark_recorded(const std::string& service) {
-    services_[service].start_recorded = true;
-}
-
 } // namespace endive::sidecar
--- a/src/sidecar/rollouts.h
+++ b/src/sidecar/rollouts.h
@@ -26,7 +26,7 @@
 class rollouts {
 public:
     explicit rollouts(const sidecar_settings& settings) : settings_{settings.exposure_share} {}
-    /// Rows of the operator, of statuses or of move starts.
+    /// An order of the operator. Throws `error` with `platform_bad_answer`, as `on_status` does.
     void on_order(const mesh::store_row& row, time_point now);
     void on_status(const mesh::store_row& row);
     /// A move began at `started`, as a row of the project's own says.
@@ -46,7 +46,7 @@
     [[nodiscard]] std::vector<std::string> running() const;
     /// Draws the version of one request.
     [[nodiscard]] version_choice choose(const std::string& service);
-    /// Where requests of a service go at this moment, without drawing.
+    /// True when endpoints of this version take no new work: their version has been replaced or rolled back.
     [[nodiscard]] bool is_retired(const std::string& service, const std::string& version,
                                   time_point now) const;
     /// Statuses that are due and not written yet. `old_idle(service, version)` tells whether no endpoint of
@@ -56,10 +56,9 @@
     struct active_move {
         std::uint64_t order_version = 0;
         std::string service;
-        bool start_recorded = false;
     };
+    /// Moves whose start no row tells yet.
     [[nodiscard]] std::vector<active_move> unrecorded() const;
-    void mark_recorded(const std::string& service);
 
 private:
     struct entry {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -6,12 +6,13 @@
 
 namespace endive::sidecar {
 
+/// Not thread safe; the event loop's thread owns it.
 class sidecar {
 public:
     /// Opens all ports. Throws `error` with a `settings_*` code.
     sidecar(boost::asio::io_context& loop, const clock_source& clock, sidecar_settings settings);
     ~sidecar();
-    /// Runs until a stop is complete.
+    /// Reads the store, enters this daemon and begins the timers; the loop does the rest.
     void start();
     /// Takes no new work, finishes what there is and ends the loop.
     void stop();
@@ -38,6 +39,7 @@
     void tell_judges(const std::string& service);
     void on_peer_row(const mesh::store_row& row);
     [[nodiscard]] duration fetch_delay() const;
+    void note_news(time_point now);
     void compare_rows(time_point now);
     void log_summary(time_point now);
     void remove_gone(time_point now);
@@ -65,9 +67,7 @@
     boost::asio::steady_timer timer_;
     std::shared_ptr<const mesh::route_index> routes_;
     mesh::member self_;
-    std::uint64_t configuration_row_version_ = 0;
     std::uint64_t written_revision_ = 0; ///< of `self_`, in the store
-    std::uint64_t self_row_version_ = 0;
     bool members_loaded_ = false;
     bool statuses_loaded_ = false;
     bool store_answers_ = false;
--- a/src/sidecar/store_client.h
+++ b/src/sidecar/store_client.h
@@ -26,7 +26,7 @@
     [[nodiscard]] std::size_t waiting() const { return queue_.size() + (current_ ? 1 : 0); }
 
 private:
-    struct request {
+    struct pending_call {
         platform_wire::store_call call;
         duration patience;
         store_done done;
@@ -43,8 +43,8 @@
     std::shared_ptr<stream> connection_;
     std::string input_;
     std::unique_ptr<response_reader> reader_;
-    std::optional<request> current_;
-    std::deque<request> queue_;
+    std::optional<pending_call> current_;
+    std::deque<pending_call> queue_;
     std::uint64_t generation_ = 0; ///< of the current call, to ignore late events
     bool closed_ = false;
 };
