Give the last responses of a stopping daemon time to arrive

Change: the process ends after 300 ms without open work, and accepts requests that much shorter before its end.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -25,6 +25,9 @@
 constexpr duration min_stop_time = milliseconds{2600};
 /// The process ends this long before it would be killed.
 constexpr duration stop_reserve = milliseconds{400};
+/// Time from the last response to the end: a process that ends sooner resets connections with unread bytes,
+/// and responses on their way are lost.
+constexpr duration settle_time = milliseconds{300};
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_request = 400;
@@ -521,7 +524,7 @@
     stopping_since_ = clock_.now();
     log(event::stopping, {{"open_requests", forwarder_.open_requests()}, {"open_jobs", local_.open_jobs()}});
     callers_.start_draining();
-    const auto end = *stopping_since_ + settings_.stop_grace - stop_reserve;
+    const auto end = *stopping_since_ + settings_.stop_grace - stop_reserve - settle_time;
     forwarder_.set_end(*stopping_since_, end);
     local_.set_end(end);
     publish_self();
@@ -531,7 +534,13 @@
 void sidecar::finish_stop(time_point now) {
     const auto elapsed = now - *stopping_since_;
     const bool idle = forwarder_.open_requests() == 0 && local_.open_jobs() == 0;
-    const bool done = idle && elapsed >= min_stop_time;
+    if (!idle) {
+        idle_since_.reset();
+    } else if (!idle_since_) {
+        idle_since_ = now;
+    }
+    const bool settled = idle_since_ && now - *idle_since_ >= settle_time;
+    const bool done = settled && elapsed >= min_stop_time;
     if (!done && elapsed < settings_.stop_grace - stop_reserve) {
         return;
     }
