--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -107,8 +107,8 @@
     started_ = clock_.now();
     publish_self();
     orders_.start();
-    load_table(std::string{own_table}, {}, 0);
-    load_table(std::string{platform_wire::status_table}, {}, 0);
+    load_table(std::string{own_table}, {});
+    load_table(std::string{platform_wire::status_table}, {});
     tick();
 }
 
@@ -294,9 +294,9 @@
     }
 }
 
-void sidecar::load_table(const std::string& table, const std::string& from, std::uint64_t pages) {
+void sidecar::load_table(const std::string& table, const std::string& from) {
     store_.call(platform_wire::read_rows(table, from), store_patience,
-                [this, table, from, pages](const store_answer& answer) {
+                [this, table, from](const store_answer& answer) {
                     bool complete = false;
                     if (answer.status == status_ok) {
                         try {
@@ -305,7 +305,7 @@
                                 on_row(row);
                             }
                             if (page.has_more && !page.rows.empty()) {
-                                load_table(table, page.rows.back().key + '\x01', pages + 1);
+                                load_table(table, page.rows.back().key + '\x01');
                                 return;
                             }
                             complete = true;
@@ -317,9 +317,9 @@
                     if (!complete) {
                         counters_.add("store_read_failed");
                         auto timer = std::make_shared<boost::asio::steady_timer>(loop_, store_retry);
-                        timer->async_wait([this, timer, table, from, pages](error_code code) {
+                        timer->async_wait([this, timer, table, from](error_code code) {
                             if (!code) {
-                                load_table(table, from, pages);
+                                load_table(table, from);
                             }
                         });
                         return;
@@ -394,7 +394,7 @@
         if (written) {
             // Two daemons that start together find each other: each reads after its own row is there.
             if (written_revision_ == 0) {
-                load_table(std::string{own_table}, {}, 0);
+                load_table(std::string{own_table}, {});
             }
             written_revision_ = revision;
         } else {
@@ -474,7 +474,7 @@
     }
     if (members_loaded_ && now >= next_member_read_) {
         next_member_read_ = now + member_read_interval;
-        load_table(std::string{own_table}, {}, 0);
+        load_table(std::string{own_table}, {});
     }
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -32,7 +32,7 @@
     void write_self();
     void write_due_statuses(time_point now);
     void write(const mesh::store_row& row, std::uint64_t expected, std::function<void(bool written)> done);
-    void load_table(const std::string& table, const std::string& from, std::uint64_t pages);
+    void load_table(const std::string& table, const std::string& from);
     [[nodiscard]] std::vector<mesh::store_row> row_heads() const;
     [[nodiscard]] std::vector<std::string> judges_of(const std::string& service) const;
     void advance_moves(time_point now);
