Share one listener; pause after a failed accept

Cause: without descriptors left, each accept failed at once and the next one began, so the event loop did nothing else; the peers' listener dropped the error without a line. Both stood in two copies.

Change: one listener class in stream.h that logs a failure and pauses 50 ms.

--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -265,35 +265,15 @@
 
 http_server::http_server(boost::asio::io_context& loop, const clock_source& clock, std::string_view address,
                          exchange_handler handler)
-    : acceptor_{loop}, clock_{clock}, handler_{std::move(handler)} {
-    try {
-        const auto endpoint = to_endpoint(address);
-        acceptor_.open(endpoint.protocol());
-        acceptor_.set_option(tcp::acceptor::reuse_address{true});
-        acceptor_.bind(endpoint);
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections);
-    } catch (const boost::system::system_error& cause) {
-        throw error{result_code::settings_port_unavailable,
-                    "cannot listen on " + std::string{address} + ": " + cause.what()};
-    }
-    accept();
-}
-
-void http_server::accept() {
-    acceptor_.async_accept([this](error_code code, tcp::socket socket) {
-        if (code == boost::asio::error::operation_aborted) {
-            return;
-        }
-        if (code) {
-            log(event::accept_failed, {{"reason", code.message()}});
-        } else {
-            const auto session =
-                std::make_shared<http_session>(*this, std::make_shared<stream>(std::move(socket)));
-            sessions_.insert(session);
-            session->start();
-        }
-        accept();
-    });
+    : clock_{clock}, handler_{std::move(handler)}, listener_{loop, address,
+                                                             [this](std::shared_ptr<stream> connection) {
+                                                                 adopt(std::move(connection));
+                                                             }} {}
+
+void http_server::adopt(std::shared_ptr<stream> connection) {
+    const auto session = std::make_shared<http_session>(*this, std::move(connection));
+    sessions_.insert(session);
+    session->start();
 }
 
 void http_server::start_draining() {
@@ -316,8 +296,7 @@
 }
 
 void http_server::close() {
-    error_code ignored; // the process ends
-    acceptor_.close(ignored);
+    listener_.close();
     for (const auto& session : std::exchange(sessions_, {})) {
         session->detach();
         session->drop();
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -55,13 +55,13 @@
 
 private:
     friend class http_session;
-    void accept();
-    tcp::acceptor acceptor_;
+    void adopt(std::shared_ptr<stream> connection);
     const clock_source& clock_;
     exchange_handler handler_;
     mesh::caller_limits limits_;
     bool draining_ = false;
     std::set<std::shared_ptr<http_session>> sessions_;
+    listener listener_;
 };
 
 /// A plain-text or JSON response of the daemon's own.
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -24,31 +24,10 @@
                    counter_set& counters, endpoint_service& local, const mesh::row_replica& rows,
                    handlers callbacks)
     : loop_{loop}, clock_{clock}, counters_{counters}, local_{local}, rows_{rows},
-      callbacks_{std::move(callbacks)}, acceptor_{loop} {
-    try {
-        const auto endpoint = to_endpoint(settings.peers_address);
-        acceptor_.open(endpoint.protocol());
-        acceptor_.set_option(tcp::acceptor::reuse_address{true});
-        acceptor_.bind(endpoint);
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections);
-    } catch (const boost::system::system_error& cause) {
-        throw error{result_code::settings_port_unavailable,
-                    "cannot listen on " + settings.peers_address + ": " + cause.what()};
-    }
-    accept();
-}
-
-void peer_set::accept() {
-    acceptor_.async_accept([this](error_code code, tcp::socket socket) {
-        if (code == boost::asio::error::operation_aborted) {
-            return;
-        }
-        if (!code) {
-            adopt(std::make_shared<stream>(std::move(socket)));
-        }
-        accept();
-    });
-}
+      callbacks_{std::move(callbacks)}, listener_{loop, settings.peers_address,
+                                                  [this](std::shared_ptr<stream> connection) {
+                                                      adopt(std::move(connection));
+                                                  }} {}
 
 void peer_set::adopt(std::shared_ptr<stream> connection) {
     const auto link = std::make_shared<peer_link>(std::move(connection), clock_, local_, *this);
@@ -344,8 +323,7 @@
 
 void peer_set::close() {
     closed_ = true;
-    error_code ignored; // the process ends
-    acceptor_.close(ignored);
+    listener_.close();
     const auto links = links_;
     for (const auto& link : links) {
         link->close();
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -71,7 +71,6 @@
     void on_down(const std::shared_ptr<peer_link>& link) override;
 
 private:
-    void accept();
     void dial(peer& entry);
     void adopt(std::shared_ptr<stream> connection);
     void greet(peer_link& link);
@@ -85,7 +84,6 @@
     endpoint_service& local_;
     const mesh::row_replica& rows_;
     handlers callbacks_;
-    tcp::acceptor acceptor_;
     mesh::member self_;
     std::map<std::string, peer> peers_;
     std::set<std::shared_ptr<peer_link>> links_;
@@ -98,6 +96,7 @@
     /// Rows that others have and this daemon lacks, by table and key.
     std::map<std::pair<std::string, std::string>, wanted_row> wanted_;
     bool closed_ = false;
+    listener listener_;
 };
 
 } // namespace endive::sidecar
--- a/src/sidecar/stream.cpp
+++ b/src/sidecar/stream.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/stream.h"
 
+#include "sidecar/events.h"
+
 #include "endive/base.h"
 
 #include <boost/asio/write.hpp>
@@ -16,6 +18,8 @@
 /// A connection whose bytes stay unacknowledged this long is broken: it bounds how long a silent one holds
 /// what was sent on it.
 constexpr unsigned unacknowledged_ms = 5000;
+/// Pause after a failed accept. Without descriptors left the next one fails at once, until one is closed.
+constexpr std::chrono::milliseconds accept_pause{50};
 
 /// One event loop thread uses it, never across two events.
 std::array<char, read_buffer_bytes>& read_buffer() {
@@ -199,6 +203,47 @@
     });
 }
 
+listener::listener(boost::asio::io_context& loop, std::string_view address, connection_handler on_connection)
+    : acceptor_{loop}, retry_{loop}, on_connection_{std::move(on_connection)} {
+    try {
+        const auto endpoint = to_endpoint(address);
+        acceptor_.open(endpoint.protocol());
+        acceptor_.set_option(tcp::acceptor::reuse_address{true});
+        acceptor_.bind(endpoint);
+        acceptor_.listen(boost::asio::socket_base::max_listen_connections);
+    } catch (const boost::system::system_error& cause) {
+        throw error{result_code::settings_port_unavailable,
+                    "cannot listen on " + std::string{address} + ": " + cause.what()};
+    }
+    accept();
+}
+
+void listener::accept() {
+    acceptor_.async_accept([this](error_code code, tcp::socket socket) {
+        if (code == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (!code) {
+            on_connection_(std::make_shared<stream>(std::move(socket)));
+            accept();
+            return;
+        }
+        log(event::accept_failed, {{"reason", code.message()}});
+        retry_.expires_after(accept_pause);
+        retry_.async_wait([this](error_code cancelled) {
+            if (!cancelled) {
+                accept();
+            }
+        });
+    });
+}
+
+void listener::close() {
+    error_code ignored; // nothing can be done about a failing close
+    acceptor_.close(ignored);
+    retry_.cancel();
+}
+
 tcp::endpoint to_endpoint(std::string_view address) {
     const auto parsed = parse_address(address);
     error_code code;
--- a/src/sidecar/stream.h
+++ b/src/sidecar/stream.h
@@ -67,6 +67,22 @@
 void connect_stream(boost::asio::io_context& loop, const tcp::endpoint& address,
                     std::chrono::nanoseconds patience, std::function<void(std::shared_ptr<stream>)> done);
 
+/// Accepts connections on one address. Not thread safe; the event loop owns it.
+class listener {
+public:
+    using connection_handler = std::function<void(std::shared_ptr<stream>)>;
+    /// `address` as `a.b.c.d:port`. Throws `error` with `settings_bad_address` or
+    /// `settings_port_unavailable`.
+    listener(boost::asio::io_context& loop, std::string_view address, connection_handler on_connection);
+    void close();
+
+private:
+    void accept();
+    tcp::acceptor acceptor_;
+    boost::asio::steady_timer retry_;
+    connection_handler on_connection_;
+};
+
 /// Parses `a.b.c.d:port`. Throws `error` with `settings_bad_address`.
 [[nodiscard]] tcp::endpoint to_endpoint(std::string_view address);
 
