--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -365,6 +365,8 @@
     caller_left,
     bad_request,
     memory,
+    stopping, ///< the daemon shuts down
+    retired,  ///< the endpoint runs a version that has been replaced
 };
 [[nodiscard]] std::string_view to_string(reason value);
 
--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -28,7 +28,9 @@
         {"no_endpoint", "the daemon knew no ready endpoint of the service, or had tried all of them"},
         {"no_room", "every endpoint tried was too busy to finish before the deadline"},
         {"too_late", "the request waited until its deadline"},
-        {"draining", "the endpoint or its daemon was leaving"},
+        {"draining", "the endpoint was leaving"},
+        {"stopping", "the daemon was shutting down"},
+        {"retired", "the endpoint ran a version that had been replaced"},
         {"wrong_endpoint", "the endpoint known to the caller's daemon had been replaced by another one"},
         {"endpoint_refused", "the endpoint itself refused the request without running it"},
         {"connect_failed", "the endpoint did not accept a connection"},
@@ -39,6 +41,7 @@
         {"peer_lost", "the link to the other daemon ended before its reply; the request may have run"},
         {"caller_left", "the caller closed its connection"},
         {"bad_request", "the request has no id"},
+        {"memory", "the bodies that the daemon held took all the memory meant for them"},
     };
     for (const auto& known : causes) {
         if (known.reason == reason) {
--- a/src/mesh/gate.cpp
+++ b/src/mesh/gate.cpp
@@ -264,6 +264,10 @@
         return "bad_request";
     case reason::memory:
         return "memory";
+    case reason::stopping:
+        return "stopping";
+    case reason::retired:
+        return "retired";
     }
     return "none";
 }
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -60,7 +60,7 @@
         return item->id;
     }
     if (!may_start() || (end_ && item->deadline > *end_)) {
-        refuse(item, mesh::reason::draining, duration{0});
+        refuse(item, standstill_reason(), duration{0});
         return item->id;
     }
     const auto target = now + item->call.latency_target - item->call.waited;
@@ -69,6 +69,13 @@
     return item->id;
 }
 
+mesh::reason endpoint_service::standstill_reason() const {
+    if (!tracker_.is_ready()) {
+        return mesh::reason::draining;
+    }
+    return retired_ ? mesh::reason::retired : mesh::reason::stopping;
+}
+
 void endpoint_service::apply(const std::vector<mesh::gate_action>& actions) {
     for (const auto& action : actions) {
         const auto found = jobs_.find(action.ticket);
@@ -79,7 +86,7 @@
         if (action.verdict == mesh::gate_verdict::start) {
             start(item);
         } else {
-            refuse(item, may_start() ? mesh::reason::no_room : mesh::reason::draining, action.retry_after);
+            refuse(item, may_start() ? mesh::reason::no_room : standstill_reason(), action.retry_after);
         }
     }
 }
--- a/src/sidecar/endpoint_service.h
+++ b/src/sidecar/endpoint_service.h
@@ -46,6 +46,8 @@
     void record(const job& item, bool failed, duration latency);
     void follow_tracker();
     [[nodiscard]] bool may_start() const { return tracker_.is_ready() && !retired_; }
+    /// Why nothing new starts. Precondition: `may_start()` does not hold or the end is near.
+    [[nodiscard]] mesh::reason standstill_reason() const;
 
     const clock_source& clock_;
     counter_set& counters_;
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -181,7 +181,7 @@
     item->deadline = item->arrived + allowed;
     item->age = told ? ages_.age(item->route->name, *told, item->arrived) : duration{0};
     if (stop_ && item->arrived - stop_->begin > full_service_after_stop && item->deadline > stop_->end) {
-        refuse(item, mesh::reason::draining, retry_without_endpoint);
+        refuse(item, mesh::reason::stopping, retry_without_endpoint);
         return;
     }
     item->service = item->route->parts[splits_.choose(*item->route)].service;
