Repeat safe requests of a link that has gone silent; test the settle time

Change: once a ping is unanswered for 250 ms, a safe request goes to an endpoint whose link answers, if the route's attempts and the daemon's share of the budget allow it.

The settle time of a stopping daemon now has its test: the loop may not end while the clock stands at the last response. It fails with a settle time of 0.

--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -477,7 +477,37 @@
     }
 }
 
+void forwarder::leave_silent_links(time_point now) {
+    std::vector<std::shared_ptr<flight>> waiting;
+    for (const auto& item : open_) {
+        const bool silent = item->link && item->link->is_suspect(now);
+        if (silent && item->route->kind == mesh::request_kind::safe) {
+            waiting.push_back(item);
+        }
+    }
+    for (const auto& item : waiting) {
+        const auto options = options_for(*item);
+        const bool other_answers = std::any_of(options.begin(), options.end(), [](const option& entry) {
+            return entry.facts.failures < avoided_failures;
+        });
+        // The silent attempt may have run. Without a repeat its answer may still come.
+        const bool attempts_left = item->sent + 1 < item->route->max_attempts;
+        if (!other_answers || !attempts_left || !may_repeat(*item)) {
+            continue;
+        }
+        ++item->sent;
+        auto& trace = item->attempts.back();
+        trace.outcome = outcome_name(mesh::attempt_outcome::unknown);
+        trace.why = mesh::reason::peer_lost;
+        trace.took = now - trace.sent;
+        counters_.add("retry_peer_silent");
+        stop_attempt(*item);
+        attempt(item);
+    }
+}
+
 void forwarder::tick(time_point now) {
+    leave_silent_links(now);
     std::vector<std::shared_ptr<flight>> expired;
     for (const auto& item : open_) {
         if (item->route != nullptr && item->deadline <= now) {
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -38,6 +38,8 @@
     void fail(const std::shared_ptr<flight>& item, unsigned status, mesh::reason why);
     void answer(const std::shared_ptr<flight>& item, http_message response);
     void stop_attempt(flight& item);
+    /// Repeats safe requests whose attempt is on a link that has gone silent, where another endpoint is left.
+    void leave_silent_links(time_point now);
     void forget(const std::shared_ptr<flight>& item);
     /// Bytes of request bodies that may be held at a time.
     [[nodiscard]] std::size_t body_budget() const;
--- a/tests/sidecar/path_test.cpp
+++ b/tests/sidecar/path_test.cpp
@@ -4,6 +4,8 @@
 
 #include "sidecar/store_stand_in.h"
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 using namespace endive;
@@ -30,6 +32,12 @@
     return json{{"Version", "r" + std::to_string(version)}, {"Resources", resources}}.dump();
 }
 
+std::string read_call(const std::string& id, milliseconds allowed) {
+    return "GET /x/1 HTTP/1.1\r\nHost: a.example\r\n" + std::string{platform_wire::request_id_header} + ": " +
+           id + "\r\n" + std::string{platform_wire::remaining_time_header} + ": " +
+           std::to_string(allowed.count()) + "\r\n\r\n";
+}
+
 /// One VM: a backend server and the daemon beside it.
 struct vm {
     vm(boost::asio::io_context& loop, const clock_source& clock, const store_stand_in& store,
@@ -58,6 +66,8 @@
         if (request.target == "/health") {
             response.headers.push_back({std::string{platform_wire::endpoint_id_header}, endpoint_id});
             response.headers.push_back({std::string{platform_wire::load_header}, "0,0,4"});
+        } else if (holding) {
+            held.push_back(call);
         } else {
             const auto id = std::string{find_header(request.headers, platform_wire::request_id_header)};
             expected_ids.push_back(
@@ -85,6 +95,16 @@
                " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
     }
 
+    /// Answers what came while `holding`.
+    void release() {
+        holding = false;
+        for (const auto& call : std::exchange(held, {})) {
+            serve(call);
+        }
+    }
+
+    bool holding = false;
+    std::vector<std::shared_ptr<exchange>> held;
     std::string endpoint_id;
     std::string endpoint_address;
     http_server backend;
@@ -248,3 +268,99 @@
     f.store.put("op", "config", other);
     CHECK(f.ask(front.settings.callers_address, "404").find("no_route") != std::string::npos);
 }
+
+// Failure: a stopping daemon ended as soon as its last response was written. Connections with unread bytes
+// were reset, and responses on their way were lost (Granite Hearth trouble-3, LOST 2).
+TEST_CASE("a stopping daemon outlives its last response") {
+    boost::asio::io_context loop;
+    manual_clock clock;
+    store_stand_in store{loop, clock};
+    store.put("op", "config", configuration(3, "books"));
+    vm only{loop, clock, store, "vm-a", "books"};
+    raw_client client{loop, only.settings.callers_address};
+    const auto served = [&] { return client.received().find("served by i-vm-a") != std::string::npos; };
+    for (int i = 0; i < 100 && !served(); ++i) {
+        clock.advance(100ms);
+        client.send(read_call("id" + std::to_string(i), 4000ms));
+        for (int k = 0; k < 10; ++k) {
+            loop.run_one_for(5ms);
+        }
+    }
+    REQUIRE(served());
+    only.holding = true;
+    client.send(read_call("last", 4500ms));
+    REQUIRE(run_until(loop, [&] { return !only.held.empty(); }));
+    only.daemon->stop();
+    // Callers have learned of the stop, and this request alone is left.
+    clock.advance(3000ms);
+    only.release();
+    REQUIRE(client.expect(": last"));
+    // The clock stands still, so no time has passed since the response: the loop may not have ended.
+    for (int i = 0; i < 20 && !loop.stopped(); ++i) {
+        loop.run_one_for(10ms);
+    }
+    CHECK_FALSE(loop.stopped());
+    CHECK(run_until(loop, [&] {
+        clock.advance(20ms);
+        loop.run_one_for(5ms);
+        return loop.stopped();
+    }));
+}
+
+// Failure: reads at a VM that had gone dark waited for the end of their route's time, though another endpoint
+// was free (162 requests of the Sciacca incident).
+TEST_CASE("a safe request on a link that has gone silent runs at another endpoint") {
+    boost::asio::io_context loop;
+    boost::asio::io_context dark_loop; // stands still while its VM is dark
+    manual_clock clock;
+    store_stand_in store{loop, clock};
+    store.put("op", "config", configuration(3, "books"));
+    vm front{loop, clock, store, "vm-a", "web"};
+    vm back{loop, clock, store, "vm-b", "books"};
+    vm dark{dark_loop, clock, store, "vm-d", "books"};
+    const auto run_both = [&] {
+        loop.restart();
+        dark_loop.restart();
+        loop.run_one_for(2ms);
+        dark_loop.run_one_for(2ms);
+    };
+    // Until both endpoints serve.
+    raw_client client{loop, front.settings.callers_address};
+    const auto seen = [&](const std::string& text) {
+        return client.received().find(text) != std::string::npos;
+    };
+    for (int i = 0; i < 1000 && !(seen("served by i-vm-b") && seen("served by i-vm-d")); ++i) {
+        clock.advance(20ms);
+        client.send(read_call("id" + std::to_string(i), 4000ms));
+        for (int k = 0; k < 5; ++k) {
+            run_both();
+        }
+    }
+    REQUIRE(seen("served by i-vm-d"));
+    // Requests that were still under way end before the VM goes dark.
+    for (int k = 0; k < 100; ++k) {
+        run_both();
+    }
+    std::vector<std::unique_ptr<raw_client>> callers;
+    constexpr int requests = 4;
+    for (int i = 0; i < requests; ++i) {
+        callers.push_back(std::make_unique<raw_client>(loop, front.settings.callers_address));
+        callers.back()->send(read_call("dark" + std::to_string(i), 1500ms));
+    }
+    const auto answered = [&] {
+        return std::all_of(callers.begin(), callers.end(), [](const auto& caller) {
+            return caller->received().find("\r\n\r\n") != std::string::npos;
+        });
+    };
+    // A silent link is pinged after 400 ms and suspect 250 ms later; it is closed only after 1900 ms.
+    for (int step = 0; step < 40 && !answered(); ++step) {
+        clock.advance(50ms);
+        for (int k = 0; k < 10; ++k) {
+            loop.restart();
+            loop.run_one_for(5ms);
+        }
+    }
+    for (const auto& caller : callers) {
+        CHECK(caller->received().find("served by i-vm-b") != std::string::npos);
+    }
+}
