--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -13,6 +13,7 @@
     milliseconds heartbeat_interval{1500};
     std::string callers_address;
     std::string peers_address;
+    std::string advertised_peer_address; ///< where other daemons reach `peers_address`; empty: there
     std::string readiness_address;
     std::string announcements_address; ///< heartbeats of the backend server
     std::string metrics_address;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -95,7 +95,8 @@
     }
     self_.daemon = settings_.name;
     self_.daemon_start_unix_ms = to_unix_ms(clock_.wall_now());
-    self_.address = settings_.peers_address;
+    self_.address = settings_.advertised_peer_address.empty() ? settings_.peers_address
+                                                              : settings_.advertised_peer_address;
     self_.failure_domain = settings_.failure_domain;
     self_.service = settings_.service;
     local_.on_change([this] { publish_self(); });
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -31,7 +31,7 @@
 _LIBC = ctypes.CDLL(None)
 
 
-def _die_with_parent():
+def die_with_parent():
     """Runs in the child: the kernel kills it when the test process dies, even by SIGKILL."""
     _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
@@ -109,7 +109,7 @@
         self._log_file = self.log.open("ab")
         program = BIN / arguments[0]
         self._child = subprocess.Popen([str(program), *arguments[1:]], stdout=subprocess.PIPE,
-                                       stderr=self._log_file, preexec_fn=_die_with_parent)
+                                       stderr=self._log_file, preexec_fn=die_with_parent)
         self.pid = self._child.pid
 
     def first_line(self):
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,495 @@
+"""Parts of a deployment on loopback around real `endive_sidecar` processes, in one asyncio loop: the metadata store, the backend
+servers, a proxy in front of each daemon's peer port, and callers that check what they are promised.
+
+Every part can be told to misbehave. What the parts see goes into one `Ledger`, which holds the promises.
+"""
+import asyncio
+import base64
+import json
+import pathlib
+import random
+import signal
+import socket
+import time
+
+from integration.harness import BIN, die_with_parent
+
+NOT_RUN = {408, 421, 429, 503}  # statuses that promise that a request never runs
+MAX_ATTEMPTS = 2
+HEARTBEAT_S = 0.3
+WORK_S = 0.03  # time of a request at a backend server
+DRAIN_S = 2.5  # bound of the platform's pages between an acknowledged departure and the last new request
+
+
+_given_ports = set()
+
+
+def free_port():
+    """A port below the range that the kernel gives to outgoing connections, never given before by this process."""
+    while True:
+        port = random.randint(12_000, 30_000)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
+
+
+async def read_message(reader):
+    """First line, headers and body of an HTTP message with a length; None at a clean end."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head[:-4].decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return first, headers, body
+
+
+def message(first, headers, body=b""):
+    lines = [first, *(f"{name}: {value}" for name, value in headers.items()), f"Content-Length: {len(body)}"]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Ledger:
+    """What ran and what callers were told, and the promises that were broken."""
+
+    def __init__(self):
+        self.runs = {}  # request id -> number of runs
+        self.kinds = {}  # request id -> safe, unsafe or upload
+        self.told_not_run = {}  # request id -> status
+        self.broken = []
+        self.seen_versions = {}  # daemon -> newest configuration that it has served
+        self.answers = {}  # status -> count
+
+    def on_run(self, request_id):
+        self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        limit = MAX_ATTEMPTS if self.kinds.get(request_id) == "safe" else 1
+        if self.runs[request_id] > limit:
+            self.broken.append(f"{request_id} ({self.kinds.get(request_id)}) ran {self.runs[request_id]} times")
+        if request_id in self.told_not_run:
+            self.broken.append(f"{request_id} ran after its caller was told {self.told_not_run[request_id]}")
+
+    def on_answer(self, request_id, status):
+        self.answers[status] = self.answers.get(status, 0) + 1
+        if status in NOT_RUN:
+            self.told_not_run[request_id] = status
+            if self.runs.get(request_id, 0) > 0:
+                self.broken.append(f"{request_id} was answered {status} and had run")
+
+
+class HttpServer:
+    """Serves one port with `handle(first, headers, body) -> bytes | None`; None leaves the request unanswered."""
+
+    def __init__(self, port=0):
+        self.port = port or free_port()
+        self.server = None
+        self.writers = set()
+
+    async def open(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, reuse_address=True)
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                answer = await self.handle(*await read_message(reader))
+                if answer is None:
+                    continue
+                writer.write(answer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass  # the other side or the run has ended
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def close(self):
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Store:
+    """The platform's metadata store. Each daemon gets a port of its own, so that faults can hit some of them."""
+
+    def __init__(self):
+        self.rows = {}  # (table, key) -> [value, version, removed]
+        self.version = 0
+        self.history_from = 0  # feeds that begin before it are gone
+        self.changed = asyncio.Event()
+        self.ports = []
+        self.modes = {}  # daemon -> ok, slow, busy, reset, silent, lost
+
+    async def port_for(self, daemon):
+        server = StorePort(self, daemon)
+        await server.open()
+        self.ports.append(server)
+        return server.port
+
+    def put(self, table, key, value):
+        self.version += 1
+        self.rows[(table, key)] = [base64.b64encode(json.dumps(value).encode()).decode(), self.version, False]
+        self._wake()
+        return self.version
+
+    def forget_history(self):
+        self.history_from = self.version
+        self._wake()
+
+    def _wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def page(self, table, after=0):
+        rows = [{"TableName": t, "part": "", "Key": key, "Value": value, "Ver": version, "Removed": removed}
+                for (t, key), (value, version, removed) in sorted(self.rows.items())
+                if t == table and version > after and (after or not removed)]
+        return {"Rows": rows, "HasMore": False, "Ver": self.version, "Now": "1ms"}
+
+    def transact(self, body):
+        for condition in body["ExpectedRev"]:
+            row = self.rows.get((condition["TableName"], condition["Key"]))
+            current = 0 if row is None or row[2] else row[1]
+            if current != condition["Ver"]:
+                page = self.page(condition["TableName"])
+                page["Rows"] = [entry for entry in page["Rows"] if entry["Key"] == condition["Key"]]
+                return 412, page
+        self.version += 1
+        for write in body["Writes"]:
+            self.rows[(write["TableName"], write["Key"])] = [write["Value"], self.version, False]
+        for dropped in body["Remove"]:
+            self.rows[(dropped["TableName"], dropped["Key"])] = ["", self.version, True]
+        self._wake()
+        return 200, {"Ver": self.version, "Now": "1ms"}
+
+    def close(self):
+        for server in self.ports:
+            server.close()
+
+
+class StorePort(HttpServer):
+    def __init__(self, store, daemon):
+        super().__init__()
+        self.store = store
+        self.daemon = daemon
+
+    async def handle(self, first, headers, body):
+        mode = self.store.modes.get(self.daemon, "ok")
+        if mode == "silent":
+            return None
+        if mode == "reset":
+            raise ConnectionResetError
+        if mode == "busy":
+            return message("HTTP/1.1 503 Busy", {})
+        if mode == "slow":
+            await asyncio.sleep(0.5)
+        method, target, _ = first.split(" ")
+        query = dict(part.partition("=")[::2] for part in target.partition("?")[2].split("&"))
+        if method == "POST":
+            status, answer = self.store.transact(json.loads(body))
+            if mode == "lost":
+                return None
+        elif target.startswith("/-/rows-feed"):
+            status, answer = await self.watch(query["TableName"], int(query["after"]), int(query["WaitMs"]) / 1000)
+        else:
+            status, answer = 200, self.store.page(query["TableName"])
+        return message(f"HTTP/1.1 {status} X", {}, json.dumps(answer).encode())
+
+    async def watch(self, table, after, wait_s):
+        end = time.monotonic() + wait_s
+        while True:
+            if after < self.store.history_from:
+                return 410, {}
+            page = self.store.page(table, after)
+            left = end - time.monotonic()
+            if page["Rows"] or left <= 0:
+                return 200, page
+            try:
+                await asyncio.wait_for(self.store.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+class Backend(HttpServer):
+    """The backend server beside a daemon. A restart is a new endpoint with a new id on the same port."""
+
+    def __init__(self, ledger, name, service, slots=8):
+        super().__init__()
+        self.ledger, self.name, self.service, self.slots = ledger, name, service, slots
+        self.announce_port = 0
+        self.starts = 0
+        self.slow_factor = 1.0
+        self.task = None
+
+    async def start(self):
+        self.starts += 1
+        self.id = f"i-{self.name}-{self.starts}"
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = "ready"
+        self.running = 0
+        self.left_at = None  # when the daemon acknowledged the departure
+        await self.open()
+        self.task = asyncio.create_task(self._beat())
+
+    def crash(self):
+        self.close()
+        self.task.cancel()
+
+    async def handle(self, first, headers, body):
+        method, target, _ = first.split(" ")
+        if target == "/health":
+            return message("HTTP/1.1 200 OK", {"X-Instance-Id": self.id,
+                                               "X-Server-Load": f"{self.running},0,{self.slots}"})
+        request_id = headers.get("x-request-id", "")
+        echo = {"X-Request-Id": request_id}
+        if headers.get("x-expected-instance", self.id) != self.id:
+            return message("HTTP/1.1 421 X", {**echo, "X-Not-Executed": "1"})
+        if self.running >= 2 * self.slots:
+            return message("HTTP/1.1 503 X", {**echo, "X-Not-Executed": "1"})
+        if self.left_at is not None and time.monotonic() - self.left_at > DRAIN_S:
+            self.ledger.broken.append(f"{request_id} began at {self.id} after it had left")
+        self.ledger.on_run(request_id)
+        self.running += 1
+        try:
+            await asyncio.sleep(WORK_S * self.slow_factor)
+        finally:
+            self.running -= 1
+        return message("HTTP/1.1 200 OK", {**echo, "X-Response-Signature": self.id},
+                       f"{request_id} at {self.service} of {len(body)} bytes".encode())
+
+    async def _call(self, call, body):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.announce_port)
+        try:
+            writer.write(message(f"POST /-/rpc?call=instances.{call}&of={self.id} HTTP/1.1", {"Host": "x"},
+                                 json.dumps(body).encode()))
+            return await asyncio.wait_for(read_message(reader), 2)
+        finally:
+            writer.close()
+
+    async def _beat(self):
+        while True:
+            self.sequence += 1
+            beat = {"Service": self.service, "Address": f"127.0.0.1:{self.port}", "Zone": "z", "Version": "v1",
+                    "Slots": self.slots, "State": self.state, "ColdRemaining": "0ms", "Sequence": self.sequence,
+                    "born": self.born}
+            try:
+                await self._call("heartbeat", beat)
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                pass  # the daemon is away; the next heartbeat tells it
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def leave(self):
+        """Drains and tells the daemon; a request may begin here only shortly after its acknowledgement."""
+        self.state = "draining"
+        try:
+            await self._call("deregister", {})
+            self.left_at = time.monotonic()
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            pass  # not acknowledged, so nothing is promised
+
+
+class Proxy:
+    """Forwards connections to a port. `mode`: ok, delay, silent (both ways), cut (one way); `reset` ends all connections."""
+
+    def __init__(self, target_port):
+        self.port, self.target_port = free_port(), target_port
+        self.mode = "ok"
+        self.server = None
+        self.writers = set()
+
+    async def open(self):
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", self.port)
+
+    async def _accept(self, reader, writer):
+        try:
+            to_reader, to_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
+        except OSError:
+            writer.close()
+            return
+        self.writers |= {writer, to_writer}
+        await asyncio.gather(self._pump(reader, to_writer, True), self._pump(to_reader, writer, False))
+        self.writers -= {writer, to_writer}
+
+    async def _pump(self, reader, writer, inward):
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "delay":
+                    await asyncio.sleep(0.1)
+                while self.mode == "silent" or (self.mode == "cut" and inward):
+                    await asyncio.sleep(0.02)
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        writer.close()
+
+    def reset(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def close(self):
+        self.server.close()
+        self.reset()
+
+
+class Daemon:
+    """One `endive_sidecar` process with its backend server and the proxy in front of its peer port."""
+
+    def __init__(self, directory, ledger, store, name, service):
+        self.directory, self.store, self.name, self.service = pathlib.Path(directory), store, name, service
+        self.backend = Backend(ledger, name, service)
+        self.callers_port, self.peers_port, self.ready_port = free_port(), free_port(), free_port()
+        self.announce_port = free_port()
+        self.proxy = Proxy(self.peers_port)
+        self.process = None
+        self.log_path = self.directory / f"{name}.log"
+
+    async def prepare(self, **more):
+        await self.proxy.open()
+        self.backend.announce_port = self.announce_port
+        await self.backend.start()
+        settings = {
+            "name": self.name, "service": self.service, "endpoint_address": f"127.0.0.1:{self.backend.port}",
+            "failure_domain": "z", "heartbeat_interval": f"{int(HEARTBEAT_S * 1000)}ms",
+            "callers_address": f"127.0.0.1:{self.callers_port}", "peers_address": f"127.0.0.1:{self.peers_port}",
+            "advertised_peer_address": f"127.0.0.1:{self.proxy.port}", "readiness_address": f"127.0.0.1:{self.ready_port}",
+            "announcements_address": f"127.0.0.1:{self.announce_port}", "memory_mb": 64,
+            "store_address": f"127.0.0.1:{await self.store.port_for(self.name)}", "stop_grace": "6000ms",
+            "retry_slack": 60, **more}
+        self.settings_path = self.directory / f"{self.name}.json"
+        self.settings_path.write_text(json.dumps(settings))
+
+    async def start(self):
+        with self.log_path.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                BIN / "endive_sidecar", "--settings", self.settings_path, stdout=log, stderr=log,
+                preexec_fn=die_with_parent)
+
+    def signal(self, which):
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(which)
+
+    async def end(self, which, patience_s=12):
+        """Signals and waits. Raises TimeoutError when the process outlives its grace time."""
+        self.signal(which)
+        if self.process is not None:
+            await asyncio.wait_for(self.process.wait(), patience_s)
+
+    async def close(self):
+        self.signal(signal.SIGCONT)
+        await self.end(signal.SIGKILL)
+        self.backend.crash()
+        self.proxy.close()
+
+
+def configuration(version, services):
+    """Routes of each service and kind, and one path that only this version has."""
+    kinds = {"safe": "/r/", "unsafe": "/w/", "upload": "/u/"}
+    resources = [{"ResourceType": "Limits", "Metadata": {},
+                  "Spec": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1_000_000, "HeaderTimeout": "3000ms",
+                           "IdleTimeout": "15000ms"}}]
+    for service in services:
+        resources.append({"ResourceType": "Services", "Metadata": {"Name": service},
+                          "Spec": {"HealthCheck": "/health", "MaxConnections": 100}})
+        for kind, prefix in [*kinds.items(), ("safe", f"/v{version}/")]:
+            resources.append({"ResourceType": "Routes", "Metadata": {"Name": f"{service}{prefix}"},
+                              "Spec": {"Hostname": f"{service}.example", "Prefix": prefix, "RouteType": kind,
+                                       "Timeout": "2000ms", "TargetLatency": "300ms", "Service": service,
+                                       "MaxAttempts": MAX_ATTEMPTS if kind == "safe" else 1}})
+    return {"Version": f"r{version}", "Resources": resources}
+
+
+class World:
+    """Daemons of two services, the store and callers."""
+
+    def __init__(self, directory, daemons_per_service=3):
+        self.directory = directory
+        self.ledger = Ledger()
+        self.services = ["a", "b"]
+        self.daemons_per_service = daemons_per_service
+        self.requests = 0
+        self.version = 0
+
+    async def __aenter__(self):
+        self.store = Store()
+        self.daemons = [Daemon(self.directory, self.ledger, self.store, f"{service}{i}", service)
+                        for service in self.services for i in range(self.daemons_per_service)]
+        self.change_configuration()
+        for daemon in self.daemons:
+            await daemon.prepare()
+            await daemon.start()
+        return self
+
+    async def __aexit__(self, *_):
+        for daemon in self.daemons:
+            await daemon.close()
+        self.store.close()
+
+    def change_configuration(self):
+        self.version += 1
+        self.store.put("op", "config", configuration(self.version, self.services))
+
+    def call_bytes(self, kind, service, path=None, body=b"", allowed_ms=2000):
+        """A request of a caller and its id."""
+        self.requests += 1
+        request_id = f"q{self.requests}"
+        self.ledger.kinds[request_id] = kind
+        path = path or {"safe": "/r/1", "unsafe": "/w/1", "upload": "/u/1"}[kind]
+        method = "GET" if kind == "safe" else "POST"
+        return request_id, message(f"{method} {path} HTTP/1.1",
+                                   {"Host": f"{service}.example", "X-Request-Id": request_id,
+                                    "X-Request-Deadline": allowed_ms}, body)
+
+    def check_answer(self, request_id, service, size, first, headers, body):
+        status = int(first.split(" ")[1])
+        self.ledger.on_answer(request_id, status)
+        if status == 200:
+            expected = f"{request_id} at {service} of {size} bytes"
+            if body.decode() != expected or headers.get("x-request-id") != request_id:
+                self.ledger.broken.append(f"{request_id} got {body[:80]!r} instead of {expected!r}")
+        if status == 503 and "retry-after" not in headers:
+            self.ledger.broken.append(f"{request_id} was refused without a time to return")
+        return status
+
+    async def call(self, daemon, kind, service, path=None, body=b"", patience_s=30):
+        """One request on a new connection; None when no complete answer came."""
+        request_id, data = self.call_bytes(kind, service, path, body)
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", daemon.callers_port)
+        except OSError:
+            return None
+        try:
+            writer.write(data)
+            answer = await asyncio.wait_for(read_message(reader), patience_s)
+            return self.check_answer(request_id, service, len(body), *answer)
+        except asyncio.TimeoutError:
+            self.ledger.broken.append(f"{request_id} had no answer from {daemon.name} for {patience_s} s")
+            return None
+        except (OSError, asyncio.IncompleteReadError):
+            return None
+        finally:
+            writer.close()
+
+    async def recovered(self, patience_s=60):
+        """Waits until each daemon serves each service and kind under the newest configuration."""
+        end = time.monotonic() + patience_s
+        for daemon in self.daemons:
+            for service in self.services:
+                for kind, path in [("safe", None), ("unsafe", None), ("upload", None), ("safe", f"/v{self.version}/1")]:
+                    status = None
+                    while status != 200:
+                        status = await self.call(daemon, kind, service, path, b"x" * 2000 if kind == "upload" else b"")
+                        if time.monotonic() > end:
+                            self.ledger.broken.append(
+                                f"{daemon.name} answers {status} to {kind} {path or ''} of {service} after {patience_s} s")
+                            return
+                        await asyncio.sleep(0.05)
