Judge a step back of the configuration by what was known when the request was sent

Cause: reported 'a1 went back from configuration 6' in 2 of 20 plays. A trace shows the 404 to be the answer to a request sent at 3721.411, before the first 200 of that version was read at 3723.000; answers of a connection wait for those to earlier requests and the 404 was read at 3723.359. The daemon had answered before it knew the version.

Change: the check asks whether the process had served the version when the request was sent, which allows no step back that a caller can observe.

Each soak process has its own loopback address: two of 17 parallel plays reported a daemon without answers for 60 s, most likely since another play had taken its port while it was down (not proved: logs were not kept; the exit code is now part of the message).

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,7 +15,7 @@
 import tempfile
 import time
 
-from soak.world import World, read_message
+from soak.world import HOST, World, read_message
 
 CALLERS = 8
 STORE_MODES = ["slow", "busy", "reset", "silent", "lost"]
@@ -60,7 +60,7 @@
         while not self.stopping:
             daemon = draw.choice(world.daemons)
             try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", daemon.callers_port)
+                reader, writer = await asyncio.open_connection(HOST, daemon.callers_port)
             except OSError:
                 await asyncio.sleep(0.05)
                 continue
@@ -85,25 +85,28 @@
             path = f"/v{version}/1" if probe else None
             request_id, data = world.call_bytes(kind, service, path, body, draw.choice([800, 1500, 2500]))
             writer.write(data)
-            sent.append((request_id, len(body), version if probe else None))
+            known = probe and world.ledger.seen_versions.get((daemon.name, daemon.process.pid), 0) >= version
+            sent.append((request_id, len(body), version if probe else None, known))
         if draw.random() < 0.05:
             return False  # the caller leaves
         process = daemon.process
-        for request_id, size, version in sent:
+        for request_id, size, version, known in sent:
             first, headers, body = await asyncio.wait_for(read_message(reader), 30)
             status = world.check_answer(request_id, service, size, first, headers, body)
-            self.check_version(daemon, process, version, status, body)
+            self.check_version(daemon, process, version, known, status)
             if headers.get("connection", "").lower() == "close":
                 return False
         return True
 
-    def check_version(self, daemon, process, version, status, body):
-        """A process that has served a configuration's own path knows it from then on."""
+    def check_version(self, daemon, process, version, known, status):
+        """A process that has served a configuration's own path knows it from then on: `known` tells whether it had when the
+        request was sent. Answers wait for those to earlier requests of their connection, so that of the answer does not count.
+        """
         if version is None:
             return
         seen = self.world.ledger.seen_versions
         key = (daemon.name, process.pid)
-        if status == 404 and seen.get(key, 0) >= version and version == self.world.version:
+        if status == 404 and known and version == self.world.version:
             self.world.ledger.broken.append(f"{daemon.name} went back from configuration {version}")
         if status == 200:
             seen[key] = max(seen.get(key, 0), version)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,6 +6,7 @@
 import asyncio
 import base64
 import json
+import os
 import pathlib
 import random
 import signal
@@ -21,6 +22,8 @@
 DRAIN_S = 2.5  # bound of the platform's pages between an acknowledged departure and the last new request
 
 
+# Each process has its own loopback address, so that no other takes a port while its daemon is down.
+HOST = f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.1"
 _given_ports = set()
 
 
@@ -32,7 +35,7 @@
             continue
         with socket.socket() as probe:
             try:
-                probe.bind(("127.0.0.1", port))
+                probe.bind((HOST, port))
             except OSError:
                 continue
         _given_ports.add(port)
@@ -92,7 +95,7 @@
         self.writers = set()
 
     async def open(self):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, reuse_address=True)
+        self.server = await asyncio.start_server(self._serve, HOST, self.port, reuse_address=True)
 
     async def _serve(self, reader, writer):
         self.writers.add(writer)
@@ -267,7 +270,7 @@
                        f"{request_id} at {self.service} of {len(body)} bytes".encode())
 
     async def _call(self, call, body):
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.announce_port)
+        reader, writer = await asyncio.open_connection(HOST, self.announce_port)
         try:
             writer.write(message(f"POST /-/rpc?call=instances.{call}&of={self.id} HTTP/1.1", {"Host": "x"},
                                  json.dumps(body).encode()))
@@ -278,7 +281,7 @@
     async def _beat(self):
         while True:
             self.sequence += 1
-            beat = {"Service": self.service, "Address": f"127.0.0.1:{self.port}", "Zone": "z", "Version": "v1",
+            beat = {"Service": self.service, "Address": f"{HOST}:{self.port}", "Zone": "z", "Version": "v1",
                     "Slots": self.slots, "State": self.state, "ColdRemaining": "0ms", "Sequence": self.sequence,
                     "born": self.born}
             try:
@@ -307,11 +310,11 @@
         self.writers = set()
 
     async def open(self):
-        self.server = await asyncio.start_server(self._accept, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self._accept, HOST, self.port)
 
     async def _accept(self, reader, writer):
         try:
-            to_reader, to_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
+            to_reader, to_writer = await asyncio.open_connection(HOST, self.target_port)
         except OSError:
             writer.close()
             return
@@ -358,12 +361,12 @@
         self.backend.announce_port = self.announce_port
         await self.backend.start()
         settings = {
-            "name": self.name, "service": self.service, "endpoint_address": f"127.0.0.1:{self.backend.port}",
+            "name": self.name, "service": self.service, "endpoint_address": f"{HOST}:{self.backend.port}",
             "failure_domain": "z", "heartbeat_interval": f"{int(HEARTBEAT_S * 1000)}ms",
-            "callers_address": f"127.0.0.1:{self.callers_port}", "peers_address": f"127.0.0.1:{self.peers_port}",
-            "advertised_peer_address": f"127.0.0.1:{self.proxy.port}", "readiness_address": f"127.0.0.1:{self.ready_port}",
-            "announcements_address": f"127.0.0.1:{self.announce_port}", "memory_mb": 64,
-            "store_address": f"127.0.0.1:{await self.store.port_for(self.name)}", "stop_grace": "6000ms",
+            "callers_address": f"{HOST}:{self.callers_port}", "peers_address": f"{HOST}:{self.peers_port}",
+            "advertised_peer_address": f"{HOST}:{self.proxy.port}", "readiness_address": f"{HOST}:{self.ready_port}",
+            "announcements_address": f"{HOST}:{self.announce_port}", "memory_mb": 64,
+            "store_address": f"{HOST}:{await self.store.port_for(self.name)}", "stop_grace": "6000ms",
             "retry_slack": 60, **more}
         self.settings_path = self.directory / f"{self.name}.json"
         self.settings_path.write_text(json.dumps(settings))
@@ -464,7 +467,7 @@
         """One request on a new connection; None when no complete answer came."""
         request_id, data = self.call_bytes(kind, service, path, body)
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", daemon.callers_port)
+            reader, writer = await asyncio.open_connection(HOST, daemon.callers_port)
         except OSError:
             return None
         try:
@@ -490,6 +493,7 @@
                         status = await self.call(daemon, kind, service, path, b"x" * 2000 if kind == "upload" else b"")
                         if time.monotonic() > end:
                             self.ledger.broken.append(
-                                f"{daemon.name} answers {status} to {kind} {path or ''} of {service} after {patience_s} s")
+                                f"{daemon.name} (exit {daemon.process.returncode}) answers {status} to {kind} {path or ''} "
+                                f"of {service} after {patience_s} s")
                             return
                         await asyncio.sleep(0.05)
