--- a/src/mesh/choice.cpp
+++ b/src/mesh/choice.cpp
@@ -29,8 +29,8 @@
 /// Weight of the time itself beside the risk of being late: of two places without risk the faster is better.
 constexpr double time_weight = 0.05;
 
-/// A refusal says something for this long: about five slots of an endpoint become free meanwhile, and
-/// requests that wait there take them.
+/// A refusal speaks for this long. An endpoint that refuses has its slots and its queue full for longer: its
+/// refusals tell callers to return after a second and more (Granite Hearth, two of three endpoints gone).
 constexpr duration refusal_lifetime = milliseconds{150};
 /// Requests of one kind differ by this much in their time without a difference in their chances.
 constexpr duration similar_time = milliseconds{20};
