Keep the comparison of header names and the reading of field lists in one place

Cause: comparing header names without case stood in callers, backends and the sidecar, and the reading of a Connection field's list in callers and, written again, in the sidecar.

Change: equal_ignoring_case and is_listed in the base library serve all three; end_to_end_headers asks them.

--- a/include/endive/base.h
+++ b/include/endive/base.h
@@ -258,6 +258,11 @@
     std::set<std::string> known_;
 };
 
+/// True when the texts are equal but for the case of ASCII letters. Thread safe.
+[[nodiscard]] bool equal_ignoring_case(std::string_view a, std::string_view b);
+/// True when the comma-separated `list` holds `item`, ignoring case and spaces around. Thread safe.
+[[nodiscard]] bool is_listed(std::string_view list, std::string_view item);
+
 /// An IPv4 address and a port.
 struct socket_address {
     std::string host;
--- a/src/backends/connection.cpp
+++ b/src/backends/connection.cpp
@@ -5,17 +5,12 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <new>
-#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 namespace endive::backends {
 namespace {
 
-[[nodiscard]] bool same_name(std::string_view a, std::string_view b) {
-    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 [[nodiscard]] bool contains_token(std::string_view list, std::string_view token) {
     const auto found = std::search(list.begin(), list.end(), token.begin(), token.end(),
                                    [](char a, char b) { return std::tolower(a) == std::tolower(b); });
@@ -27,7 +22,8 @@
     constexpr std::string_view names[] = {
         "connection", "keep-alive",       "transfer-encoding", "te",   "trailer",
         "upgrade",    "proxy-connection", "content-length",    "date", "proxy-authenticate"};
-    return std::any_of(std::begin(names), std::end(names), [&](auto n) { return same_name(n, name); });
+    return std::any_of(std::begin(names), std::end(names),
+                       [&](auto n) { return equal_ignoring_case(n, name); });
 }
 
 [[nodiscard]] std::string_view trim(std::string_view text) {
@@ -58,11 +54,11 @@
     const auto name = line.substr(0, colon);
     const auto value = trim(line.substr(colon + 1));
     auto& framing = buffer.head.framing;
-    if (same_name(name, "content-length")) {
+    if (equal_ignoring_case(name, "content-length")) {
         std::uint64_t length = 0;
         std::from_chars(value.data(), value.data() + value.size(), length);
         framing.content_length = length;
-    } else if (same_name(name, "transfer-encoding") && contains_token(value, "chunked")) {
+    } else if (equal_ignoring_case(name, "transfer-encoding") && contains_token(value, "chunked")) {
         framing.chunked = true;
     }
     if (!is_hop_by_hop(name)) {
@@ -204,8 +200,8 @@
     bool accept = false;
     bool content_type = false;
     for (const auto& field : request.headers) {
-        accept = accept || same_name(field.name, "accept");
-        content_type = content_type || same_name(field.name, "content-type");
+        accept = accept || equal_ignoring_case(field.name, "accept");
+        content_type = content_type || equal_ignoring_case(field.name, "content-type");
         const auto line = field.value.empty() ? field.name + ";" : field.name + ": " + field.value;
         header_list_ = curl_slist_append(header_list_, line.c_str());
     }
--- a/src/callers/reply.cpp
+++ b/src/callers/reply.cpp
@@ -1,15 +1,10 @@
 #include "callers/reply.h"
 
 #include <algorithm>
-#include <strings.h>
 
 namespace endive::callers {
 namespace {
 
-[[nodiscard]] bool same_name(std::string_view a, std::string_view b) {
-    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 [[nodiscard]] std::uint32_t http_status(result_code code) {
     switch (code) {
     case result_code::call_bad_request:
@@ -54,33 +49,15 @@
                                           "proxy-authorization",
                                           "endive-attempt",
                                           "proxy-connection"};
-    return std::any_of(std::begin(names), std::end(names), [&](auto n) { return same_name(n, name); });
-}
-
-/// True when the `Connection` field lists `name`.
-[[nodiscard]] bool is_listed(std::string_view list, std::string_view name) {
-    while (!list.empty()) {
-        const auto comma = list.find(',');
-        auto item = list.substr(0, comma);
-        while (!item.empty() && item.front() == ' ') {
-            item.remove_prefix(1);
-        }
-        while (!item.empty() && item.back() == ' ') {
-            item.remove_suffix(1);
-        }
-        if (same_name(item, name)) {
-            return true;
-        }
-        list = comma == std::string_view::npos ? std::string_view{} : list.substr(comma + 1);
-    }
-    return false;
+    return std::any_of(std::begin(names), std::end(names),
+                       [&](auto n) { return equal_ignoring_case(n, name); });
 }
 
 } // namespace
 
 std::string_view find_header(const std::vector<backends::header>& headers, std::string_view name) {
     for (const auto& field : headers) {
-        if (same_name(field.name, name)) {
+        if (equal_ignoring_case(field.name, name)) {
             return field.value;
         }
     }
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -53,9 +53,9 @@
 header_list forwarded_headers(const header_list& headers, const std::string& caller_service) {
     auto result = end_to_end_headers(headers);
     std::erase_if(result, [](const header_field& entry) {
-        return same_name(entry.name, platform_wire::remaining_time_header) ||
-               same_name(entry.name, platform_wire::expected_endpoint_header) ||
-               same_name(entry.name, platform_wire::caller_service_header);
+        return equal_ignoring_case(entry.name, platform_wire::remaining_time_header) ||
+               equal_ignoring_case(entry.name, platform_wire::expected_endpoint_header) ||
+               equal_ignoring_case(entry.name, platform_wire::caller_service_header);
     });
     result.push_back({std::string{platform_wire::caller_service_header}, caller_service});
     return result;
--- a/src/sidecar/http_message.cpp
+++ b/src/sidecar/http_message.cpp
@@ -11,17 +11,13 @@
 
 namespace http = boost::beast::http;
 
-char lower(char c) {
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-}
-
 bool is_connection_field(std::string_view name) {
     static constexpr std::string_view names[] = {
         "connection",         "keep-alive", "proxy-connection", "te",     "trailer",
         "transfer-encoding",  "upgrade",    "content-length",   "expect", "proxy-authenticate",
         "proxy-authorization"};
     return std::any_of(std::begin(names), std::end(names),
-                       [&](std::string_view entry) { return same_name(entry, name); });
+                       [&](std::string_view entry) { return equal_ignoring_case(entry, name); });
 }
 
 void append_field(std::string& out, std::string_view name, std::string_view value) {
@@ -39,14 +35,9 @@
 
 } // namespace
 
-bool same_name(std::string_view a, std::string_view b) {
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                      [](char x, char y) { return lower(x) == lower(y); });
-}
-
 std::string_view find_header(const header_list& headers, std::string_view name) {
     for (const auto& entry : headers) {
-        if (same_name(entry.name, name)) {
+        if (equal_ignoring_case(entry.name, name)) {
             return entry.value;
         }
     }
@@ -55,35 +46,19 @@
 
 bool has_header(const header_list& headers, std::string_view name) {
     return std::any_of(headers.begin(), headers.end(),
-                       [&](const header_field& entry) { return same_name(entry.name, name); });
+                       [&](const header_field& entry) { return equal_ignoring_case(entry.name, name); });
 }
 
 header_list end_to_end_headers(const header_list& headers) {
-    std::vector<std::string_view> named; // by the Connection field
-    for (const auto& entry : headers) {
-        if (!same_name(entry.name, "connection")) {
-            continue;
-        }
-        std::string_view rest = entry.value;
-        while (!rest.empty()) {
-            const auto comma = std::min(rest.find(','), rest.size());
-            auto token = rest.substr(0, comma);
-            while (!token.empty() && token.front() == ' ') {
-                token.remove_prefix(1);
-            }
-            while (!token.empty() && token.back() == ' ') {
-                token.remove_suffix(1);
-            }
-            named.push_back(token);
-            rest.remove_prefix(std::min(comma + 1, rest.size()));
-        }
-    }
+    const auto is_named = [&](std::string_view name) { // by a Connection field
+        return std::any_of(headers.begin(), headers.end(), [&](const header_field& entry) {
+            return equal_ignoring_case(entry.name, "connection") && is_listed(entry.value, name);
+        });
+    };
     header_list result;
     result.reserve(headers.size());
     for (const auto& entry : headers) {
-        const bool is_named = std::any_of(
-            named.begin(), named.end(), [&](std::string_view token) { return same_name(token, entry.name); });
-        if (!is_named && !is_connection_field(entry.name)) {
+        if (!is_connection_field(entry.name) && !is_named(entry.name)) {
             result.push_back(entry);
         }
     }
--- a/src/sidecar/http_message.h
+++ b/src/sidecar/http_message.h
@@ -14,8 +14,6 @@
 };
 using header_list = std::vector<header_field>;
 
-/// True when the header names are equal; case does not matter.
-[[nodiscard]] bool same_name(std::string_view a, std::string_view b);
 /// Value of the first field of that name, or empty.
 [[nodiscard]] std::string_view find_header(const header_list& headers, std::string_view name);
 [[nodiscard]] bool has_header(const header_list& headers, std::string_view name);
