Derive the retirement of a version from its move

Cause: rollouts kept the time of full share beside the move's own, set and reset by the same conditions.

Change: mesh::rollout tells whether it has been full for a time; a bad verdict resets it as every other fall of the share does.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -494,6 +494,10 @@
     /// Share of the service's requests for the new version, from 0 to 1.
     [[nodiscard]] double share() const { return share_; }
     [[nodiscard]] bool is_bad() const { return bad_; }
+    /// All traffic has gone to the new version for this long.
+    [[nodiscard]] bool has_been_full(duration length, time_point now) const {
+        return full_since_ && now - *full_since_ >= length;
+    }
     /// All traffic has gone to the new version for long enough to complete the move.
     [[nodiscard]] bool may_complete(time_point now) const;
     [[nodiscard]] const rollout_order& order() const { return order_; }
--- a/src/mesh/rollout.cpp
+++ b/src/mesh/rollout.cpp
@@ -135,7 +135,7 @@
         judge();
     }
     if (bad_) {
-        share_ = 0;
+        set_share(0, now);
         return;
     }
     const double elapsed = std::chrono::duration<double>(now - started_).count();
@@ -177,7 +177,7 @@
 }
 
 bool rollout::may_complete(time_point now) const {
-    return !bad_ && !final_ && full_since_ && now - *full_since_ >= full_time_before_completion;
+    return !bad_ && !final_ && has_been_full(full_time_before_completion, now);
 }
 
 } // namespace endive::mesh
--- a/src/sidecar/rollouts.cpp
+++ b/src/sidecar/rollouts.cpp
@@ -37,7 +37,6 @@
     item.move.emplace(order, settings_, now);
     item.start_recorded = false;
     item.credit = 0;
-    item.full_since.reset();
     item.told.clear();
     for (const auto& [daemon, last] : evidence_) {
         item.move->on_evidence(daemon, last.start, last.counters);
@@ -161,11 +160,6 @@
             log(event::move_share,
                 {{"service", service}, {"to", item.move->order().to}, {"share", item.move->share()}});
         }
-        if (item.move->share() < 1.0) {
-            item.full_since.reset();
-        } else if (!item.full_since) {
-            item.full_since = now;
-        }
     }
 }
 
@@ -202,7 +196,7 @@
     }
     // After a roll-back the old version takes all traffic again, however far the move had come.
     return final ? final == mesh::rollout_state::completed
-                 : item.full_since && now - *item.full_since > retire_after;
+                 : item.move->has_been_full(retire_after, now);
 }
 
 std::vector<status_write>
--- a/src/sidecar/rollouts.h
+++ b/src/sidecar/rollouts.h
@@ -68,7 +68,6 @@
         std::optional<mesh::rollout_status> status;
         bool start_recorded = false;
         double credit = 0; ///< of the new version in the draw
-        std::optional<time_point> full_since;
         bool judged_here = false;
         struct told_progress {
             mesh::move_progress value;
