--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -111,13 +111,14 @@
     return found == peers_.end() ? nullptr : &found->second;
 }
 
-void peer_set::broadcast(const peer_message& message) {
+void peer_set::broadcast(const peer_message& message, audience to) {
     if (links_.empty()) {
         return;
     }
     const auto frame = std::make_shared<const std::string>(encode(message));
     for (const auto& [name, entry] : peers_) {
-        if (entry.link) {
+        const bool meant = to == audience::all || entry.about.failure_domain == self_.failure_domain;
+        if (entry.link && meant) {
             entry.link->send_frame(frame, "announce");
         }
     }
@@ -132,16 +133,7 @@
 void peer_set::spread_load(const mesh::endpoint_load& load, bool to_all) {
     announce_message message;
     message.load = load;
-    if (to_all) {
-        broadcast(message);
-        return;
-    }
-    const auto frame = std::make_shared<const std::string>(encode(message));
-    for (const auto& [name, entry] : peers_) {
-        if (entry.link && entry.about.failure_domain == self_.failure_domain) {
-            entry.link->send_frame(frame, "announce");
-        }
-    }
+    broadcast(message, to_all ? audience::all : audience::own_domain);
 }
 
 void peer_set::send_evidence(const std::string& daemon, const std::vector<mesh::version_evidence>& counters) {
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -75,7 +75,8 @@
     void dial(peer& entry);
     void adopt(std::shared_ptr<stream> connection);
     void greet(peer_link& link);
-    void broadcast(const peer_message& message);
+    enum class audience : std::uint8_t { all, own_domain };
+    void broadcast(const peer_message& message, audience to = audience::all);
     void note_missing(const std::string& daemon, const std::vector<mesh::store_row>& heads);
     void fetch_missing(time_point now);
 
