--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -231,6 +231,9 @@
 
 // ---- choice of an endpoint --------------------------------------------------------------------------------
 
+/// Time relative to the latency target that an endpoint is expected to need before its first response.
+inline constexpr double initial_slowness = 0.35;
+
 /// Load of an endpoint as its own daemon tells it.
 struct endpoint_load {
     std::uint32_t outstanding = 0; ///< requests at the endpoint and in the queue before it
--- a/src/mesh/choice.cpp
+++ b/src/mesh/choice.cpp
@@ -7,8 +7,6 @@
 namespace endive::mesh {
 namespace {
 
-/// Time relative to the latency target that an endpoint is expected to need before its first response.
-constexpr double initial_slowness = 0.35;
 /// Costs are equal when they differ by less than this; the draw spreads load between them.
 constexpr double tie_cost = 0.01;
 /// A place at another daemon costs a round trip in the domain and two passes through event loops.
--- a/src/mesh/gate.cpp
+++ b/src/mesh/gate.cpp
@@ -11,7 +11,6 @@
 constexpr double average_weight = 0.05;
 /// Service time before the first response.
 constexpr duration initial_service_time = milliseconds{100};
-constexpr double initial_slowness = 0.35;
 /// A request starts only if this share of its expected run fits before its deadline: runs vary, and some
 /// finish well below the average.
 constexpr double hopeful_share = 0.6;
