End a request without endpoints, and an attempt, in one place each

Cause: the answer when no endpoint is left stood in attempt and on_not_run, the ending of an attempt's trace in on_reply and leave_silent_links.

Change: give_up and attempt_trace::end; what admission goes by is computed once a request, not once an endpoint.

--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -103,6 +103,12 @@
     std::string_view outcome = "open";
     mesh::reason why = mesh::reason::none;
     duration took{0};
+
+    void end(mesh::attempt_outcome how, mesh::reason reason, time_point now) {
+        outcome = outcome_name(how);
+        why = reason;
+        took = now - sent;
+    }
 };
 
 /// One request between its arrival and its answer.
@@ -271,10 +277,10 @@
 
 void forwarder::drop_full(std::vector<option>& options, flight& item, time_point now) {
     item.skipped_full = 0;
+    const auto facts = item.admission(now);
     std::erase_if(options, [&](const option& entry) {
-        const auto wait = entry.remote == nullptr
-                              ? std::nullopt
-                              : entry.remote->refusals.expected_refusal(item.admission(now), now);
+        const auto wait = entry.remote == nullptr ? std::nullopt
+                                                  : entry.remote->refusals.expected_refusal(facts, now);
         if (wait) {
             ++item.skipped_full;
             item.note_refusal(mesh::reason::no_room, *wait);
@@ -319,13 +325,7 @@
     const mesh::choice_request question{item->from->request().body.size(), item->route->latency_target};
     const auto chosen = mesh::choose_endpoint(facts, question, next_random(random_));
     if (!chosen) {
-        if (item->failed_answer) {
-            deliver(item, std::move(*item->failed_answer));
-        } else if (item->sent > 0) {
-            fail(item, status_bad_gateway, item->last_refusal);
-        } else {
-            refuse(item, item->last_refusal, std::max(retry_without_endpoint, item->retry_after));
-        }
+        give_up(item, std::max(retry_without_endpoint, item->retry_after));
         return;
     }
     const auto& target = options[*chosen];
@@ -363,10 +363,7 @@
 void forwarder::on_reply(const std::shared_ptr<flight>& item, const std::string& daemon,
                          reply_message reply) {
     auto* entry = peers_.find(daemon);
-    auto& trace = item->attempts.back();
-    trace.outcome = outcome_name(reply.outcome);
-    trace.why = reply.why;
-    trace.took = clock_.now() - trace.sent;
+    item->attempts.back().end(reply.outcome, reply.why, clock_.now());
     const bool safe = item->route->kind == mesh::request_kind::safe;
     if (reply.outcome == mesh::attempt_outcome::not_run) {
         on_not_run(item, reply);
@@ -415,12 +412,16 @@
         attempt(item);
         return;
     }
+    give_up(item, std::max(retry_without_endpoint / 4, item->retry_after));
+}
+
+void forwarder::give_up(const std::shared_ptr<flight>& item, duration retry_after) {
     if (item->failed_answer) {
         deliver(item, std::move(*item->failed_answer));
     } else if (item->sent > 0) {
-        fail(item, status_bad_gateway, reply.why);
+        fail(item, status_bad_gateway, item->last_refusal);
     } else {
-        refuse(item, reply.why, std::max(item->retry_after, retry_without_endpoint / 4));
+        refuse(item, item->last_refusal, retry_after);
     }
 }
 
@@ -525,10 +526,7 @@
             continue;
         }
         ++item->sent;
-        auto& trace = item->attempts.back();
-        trace.outcome = outcome_name(mesh::attempt_outcome::unknown);
-        trace.why = mesh::reason::peer_lost;
-        trace.took = now - trace.sent;
+        item->attempts.back().end(mesh::attempt_outcome::unknown, mesh::reason::peer_lost, now);
         counters_.add("retry_peer_silent");
         stop_attempt(*item);
         attempt(item);
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -38,6 +38,8 @@
     void deliver(const std::shared_ptr<flight>& item, reply_message reply);
     void refuse(const std::shared_ptr<flight>& item, mesh::reason why, duration retry_after);
     void fail(const std::shared_ptr<flight>& item, unsigned status, mesh::reason why);
+    /// No endpoint is left: answers with what the attempts so far allow to say.
+    void give_up(const std::shared_ptr<flight>& item, duration retry_after);
     void answer(const std::shared_ptr<flight>& item, http_message response);
     void stop_attempt(flight& item);
     /// Repeats safe requests whose attempt is on a link that has gone silent, where another endpoint is left.
