Read the advertised address as endived does

Change: optional_address of the settings reader instead of a check of its own; a text that is no address, the empty one too, is refused with its place.

--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -26,9 +26,7 @@
     result.heartbeat_interval = read_time(reader, "heartbeat_interval", result.heartbeat_interval);
     result.callers_address = reader.required_address("callers_address");
     result.peers_address = reader.required_address("peers_address");
-    if (!reader.optional_string("advertised_peer_address", {}).empty()) {
-        result.advertised_peer_address = reader.required_address("advertised_peer_address");
-    }
+    result.advertised_peer_address = reader.optional_address("advertised_peer_address", result.peers_address);
     result.readiness_address = reader.required_address("readiness_address");
     result.announcements_address = reader.required_address("announcements_address");
     constexpr std::int64_t max_port = 65535;
