--- a/src/sidecar/endpoint_client.cpp
+++ b/src/sidecar/endpoint_client.cpp
@@ -67,7 +67,6 @@
 }
 
 void endpoint_client::open(const std::shared_ptr<work>& item) {
-    ++opened_;
     connect_stream(loop_, address_, connect_patience, [this, item](std::shared_ptr<stream> transport) {
         if (item->cancelled) {
             if (transport) {
--- a/src/sidecar/endpoint_client.h
+++ b/src/sidecar/endpoint_client.h
@@ -30,7 +30,6 @@
     void drop_idle();
     /// Closes connections that were idle for too long. Call a few times a second.
     void sweep(time_point now);
-    [[nodiscard]] std::uint64_t connections_opened() const { return opened_; }
     [[nodiscard]] std::size_t idle_connections() const { return idle_.size(); }
 
 private:
@@ -47,7 +46,6 @@
     const clock_source& clock_;
     tcp::endpoint address_;
     std::uint64_t next_id_ = 1;
-    std::uint64_t opened_ = 0;
     std::map<std::uint64_t, std::shared_ptr<work>> active_;
     std::vector<std::shared_ptr<connection>> idle_; ///< most recently used last
 };
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -279,8 +279,8 @@
     item.skipped_full = 0;
     const auto facts = item.admission(now);
     std::erase_if(options, [&](const option& entry) {
-        const auto wait = entry.remote == nullptr ? std::nullopt
-                                                  : entry.remote->refusals.expected_refusal(facts, now);
+        const auto wait =
+            entry.remote == nullptr ? std::nullopt : entry.remote->refusals.expected_refusal(facts, now);
         if (wait) {
             ++item.skipped_full;
             item.note_refusal(mesh::reason::no_room, *wait);
--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -79,7 +79,6 @@
     }
 
     [[nodiscard]] std::size_t open_exchanges() const { return pending_.size(); }
-    void detach() { server_ = nullptr; }
 
 private:
     struct pending {
@@ -295,14 +294,6 @@
     return count;
 }
 
-void http_server::close() {
-    listener_.close();
-    for (const auto& session : std::exchange(sessions_, {})) {
-        session->detach();
-        session->drop();
-    }
-}
-
 http_message own_response(unsigned status, std::string body) {
     http_message response;
     response.status = status;
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -51,7 +51,6 @@
     [[nodiscard]] std::size_t session_count() const { return sessions_.size(); }
     /// Requests that were read and not answered yet.
     [[nodiscard]] std::size_t open_exchanges() const;
-    void close();
 
 private:
     friend class http_session;
--- a/src/sidecar/peer_link.h
+++ b/src/sidecar/peer_link.h
@@ -53,7 +53,6 @@
     [[nodiscard]] bool is_open() const { return connection_->is_open(); }
     /// Nothing has arrived for a while though something was expected.
     [[nodiscard]] bool is_suspect(time_point now) const;
-    [[nodiscard]] std::size_t open_calls() const { return pending_.size(); }
     /// Pings when quiet; closes the link when the other side is silent. Call every 100 ms or so.
     void tick(time_point now);
     void close();
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -85,7 +85,7 @@
 
 void peer_set::dial(peer& entry) {
     const auto now = clock_.now();
-    if (closed_ || entry.dialing || now < entry.next_dial || entry.about.address.empty()) {
+    if (entry.dialing || now < entry.next_dial || entry.about.address.empty()) {
         return;
     }
     entry.dialing = true;
@@ -98,7 +98,7 @@
                        if (known != nullptr) {
                            known->dialing = false;
                        }
-                       if (connection && (closed_ || known == nullptr || known->link)) {
+                       if (connection && (known == nullptr || known->link)) {
                            connection->close(); // the other side was faster
                        } else if (connection) {
                            adopt(std::move(connection));
@@ -295,13 +295,4 @@
     return result;
 }
 
-void peer_set::close() {
-    closed_ = true;
-    listener_.close();
-    const auto links = links_;
-    for (const auto& link : links) {
-        link->close();
-    }
-}
-
 } // namespace endive::sidecar
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -64,7 +64,6 @@
     /// Daemons that were unreachable for so long that their rows may go.
     [[nodiscard]] std::vector<mesh::member> long_gone(time_point now) const;
     void forget(const std::string& daemon) { peers_.erase(daemon); }
-    void close();
 
     void on_announce(const std::shared_ptr<peer_link>& link, announce_message message) override;
     void on_fetch(const std::shared_ptr<peer_link>& link, const fetch_message& message) override;
@@ -90,7 +89,6 @@
     std::map<std::string, peer> peers_;
     std::set<std::shared_ptr<peer_link>> links_;
     mesh::missing_rows missing_;
-    bool closed_ = false;
     listener listener_;
 };
 
--- a/src/sidecar/rollouts.cpp
+++ b/src/sidecar/rollouts.cpp
@@ -195,8 +195,7 @@
         return final == mesh::rollout_state::rolled_back;
     }
     // After a roll-back the old version takes all traffic again, however far the move had come.
-    return final ? final == mesh::rollout_state::completed
-                 : item.move->has_been_full(retire_after, now);
+    return final ? final == mesh::rollout_state::completed : item.move->has_been_full(retire_after, now);
 }
 
 std::vector<status_write>
--- a/src/sidecar/store_client.cpp
+++ b/src/sidecar/store_client.cpp
@@ -36,7 +36,7 @@
 }
 
 void store_connection::next() {
-    if (closed_ || current_ || queue_.empty()) {
+    if (current_ || queue_.empty()) {
         return;
     }
     current_ = std::move(queue_.front());
@@ -44,7 +44,7 @@
     const auto generation = ++generation_;
     timer_.expires_after(current_->patience);
     timer_.async_wait([this, generation](error_code code) {
-        if (!code && !closed_ && current_ && generation == generation_) {
+        if (!code && current_ && generation == generation_) {
             finish({}, false);
         }
     });
@@ -53,7 +53,7 @@
         return;
     }
     connect_stream(loop_, address_, connect_patience, [this, generation](std::shared_ptr<stream> connection) {
-        const bool wanted = !closed_ && current_ && generation == generation_;
+        const bool wanted = current_ && generation == generation_;
         if (!wanted) {
             if (connection) {
                 connection->close();
@@ -74,7 +74,7 @@
                 }
             },
             [this, via = connection_.get()](stream_end) {
-                if (via == connection_.get() && !closed_ && current_) {
+                if (via == connection_.get() && current_) {
                     finish({}, false);
                 }
             });
@@ -134,26 +134,12 @@
     }
 }
 
-void store_connection::close() {
-    closed_ = true;
-    timer_.cancel();
-    if (connection_) {
-        connection_->close();
-    }
-}
-
 table_follower::table_follower(boost::asio::io_context& loop, std::string_view store, std::string table,
                                std::function<void(const std::vector<mesh::store_row>&)> on_rows,
                                std::function<void(bool)> on_health)
     : connection_{loop, store}, pause_{loop}, table_{std::move(table)}, on_rows_{std::move(on_rows)},
       on_health_{std::move(on_health)} {}
 
-void table_follower::close() {
-    closed_ = true;
-    pause_.cancel();
-    connection_.close();
-}
-
 void table_follower::set_health(bool healthy) {
     if (healthy_ != healthy) {
         healthy_ = healthy;
@@ -174,7 +160,7 @@
     pausing_ = true;
     pause_.expires_after(pause);
     pause_.async_wait([this, step = std::move(step)](error_code code) {
-        if (!code && !closed_) {
+        if (!code) {
             pausing_ = false;
             step();
         }
@@ -184,9 +170,6 @@
 void table_follower::read(const std::string& from) {
     connection_.call(platform_wire::read_rows(table_, from), read_patience,
                      [this, from](const store_answer& answer) {
-                         if (closed_) {
-                             return;
-                         }
                          if (answer.status != status_ok) {
                              retry([this, from] { read(from); });
                              return;
@@ -216,9 +199,6 @@
 void table_follower::watch() {
     connection_.call(platform_wire::watch_rows(table_, version_, watch_wait), watch_wait + watch_slack,
                      [this](const store_answer& answer) {
-                         if (closed_) {
-                             return;
-                         }
                          if (answer.status == status_gone) {
                              log(event::store_history_gone, {{"table", table_}, {"after", version_}});
                              read({});
--- a/src/sidecar/store_client.h
+++ b/src/sidecar/store_client.h
@@ -22,8 +22,6 @@
     void call(platform_wire::store_call call, duration patience, store_done done);
     /// Ends the current call without an answer.
     void drop();
-    void close();
-    [[nodiscard]] std::size_t waiting() const { return queue_.size() + (current_ ? 1 : 0); }
 
 private:
     struct pending_call {
@@ -46,7 +44,6 @@
     std::optional<pending_call> current_;
     std::deque<pending_call> queue_;
     std::uint64_t generation_ = 0; ///< of the current call, to ignore late events
-    bool closed_ = false;
 };
 
 /// Follows one table of the store: reads it, then waits for changes. Not thread safe.
@@ -57,7 +54,6 @@
                    std::function<void(const std::vector<mesh::store_row>&)> on_rows,
                    std::function<void(bool)> on_health);
     void start() { read({}); }
-    void close();
     /// The next watch begins after a pause.
     [[nodiscard]] bool is_pausing() const { return pausing_; }
     /// Drops the connection and watches again: it is known to miss changes.
@@ -80,7 +76,6 @@
     duration retry_pause_{0};
     bool pausing_ = false;
     std::optional<bool> healthy_;
-    bool closed_ = false;
 };
 
 } // namespace endive::sidecar
--- a/src/sidecar/stream.cpp
+++ b/src/sidecar/stream.cpp
@@ -96,7 +96,6 @@
     if (!open_ || write_failed_ || bytes->empty()) {
         return;
     }
-    queued_bytes_ += bytes->size();
     queue_.push_back(std::move(bytes));
     write_next();
 }
@@ -131,14 +130,11 @@
                                      // What the other side sent before it stopped reading is still to be
                                      // read; reading finds the end.
                                      self->queue_.clear();
-                                     self->queued_bytes_ = 0;
                                      self->write_failed_ = true;
                                      return;
                                  }
-                                 for (std::size_t i = 0; i < count; ++i) {
-                                     self->queued_bytes_ -= self->queue_.front()->size();
-                                     self->queue_.pop_front();
-                                 }
+                                 const auto sent = static_cast<std::ptrdiff_t>(count);
+                                 self->queue_.erase(self->queue_.begin(), self->queue_.begin() + sent);
                                  self->write_next();
                              });
 }
@@ -238,12 +234,6 @@
     });
 }
 
-void listener::close() {
-    error_code ignored; // nothing can be done about a failing close
-    acceptor_.close(ignored);
-    retry_.cancel();
-}
-
 tcp::endpoint to_endpoint(std::string_view address) {
     const auto parsed = parse_address(address);
     error_code code;
--- a/src/sidecar/stream.h
+++ b/src/sidecar/stream.h
@@ -37,7 +37,6 @@
     void send(std::string bytes);
     void send(std::shared_ptr<const std::string> bytes);
     [[nodiscard]] bool sending() const { return !queue_.empty(); }
-    [[nodiscard]] std::size_t queued_bytes() const { return queued_bytes_; }
     /// Ends the sending side after all bytes queued and closes when the other side has ended too, or at
     /// `close`.
     void finish_sending();
@@ -54,7 +53,6 @@
     std::function<void(std::string_view)> on_data_;
     std::function<void(stream_end)> on_end_;
     std::deque<std::shared_ptr<const std::string>> queue_;
-    std::size_t queued_bytes_ = 0;
     bool open_ = true;
     bool paused_ = false;
     bool waiting_ = false;
@@ -74,7 +72,6 @@
     /// `address` as `a.b.c.d:port`. Throws `error` with `settings_bad_address` or
     /// `settings_port_unavailable`.
     listener(boost::asio::io_context& loop, std::string_view address, connection_handler on_connection);
-    void close();
 
 private:
     void accept();
