--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -90,11 +90,18 @@
     raise AssertionError(f"not within {timeout} s: {what} (last error: {last_error!r})")
 
 
-def free_port():
-    """A port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+_given_ports = set()
+
+
+def free_port(host="127.0.0.1"):
+    """A port that was free a moment ago and that this process has not given before."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((host, 0))
+            port = probe.getsockname()[1]
+        if port not in _given_ports:
+            _given_ports.add(port)
+            return port
 
 
 class Process:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -174,14 +174,18 @@
             await asyncio.sleep(0.05)
 
     async def link_fault(self):
-        proxy = self.random.choice(self.world.daemons).proxy
-        proxy.mode = self.random.choice(["delay", "silent", "cut"])
+        """Links to a daemon are slow, silent, or silent in one direction."""
+        name = self.random.choice(self.world.daemons).name
+        to_target, to_client = self.random.choice([({"delay_ms": 100}, {"delay_ms": 100}), ({"hold": True}, {"hold": True}),
+                                                   ({"hold": True}, {})])
+        self.world.proxy.change(name, to_target=to_target, to_client=to_client)
         await self.pause(0.2, 2.5)
-        proxy.mode = "ok"
+        whole = {"delay_ms": 0, "hold": False}
+        self.world.proxy.change(name, to_target=whole, to_client=whole)
 
     async def link_reset(self):
         for daemon in self.some_daemons():
-            daemon.proxy.reset()
+            self.world.proxy.cut(daemon.name)
 
     async def backend_crash(self):
         backend = self.random.choice(self.world.daemons).backend
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,5 +1,5 @@
 """Parts of a deployment on loopback around real `endive_sidecar` processes, in one asyncio loop: the metadata store, the backend
-servers, a proxy in front of each daemon's peer port, and callers that check what they are promised.
+servers, the fault proxy in front of each daemon's peer port, and callers that check what they are promised.
 
 Every part can be told to misbehave. What the parts see goes into one `Ledger`, which holds the promises.
 """
@@ -8,12 +8,10 @@
 import json
 import os
 import pathlib
-import random
 import signal
-import socket
 import time
 
-from integration.harness import BIN, die_with_parent
+from integration.harness import BIN, Proxy, die_with_parent, free_port
 
 NOT_RUN = {408, 421, 429, 503}  # statuses that promise that a request never runs
 MAX_ATTEMPTS = 2
@@ -24,22 +22,6 @@
 
 # Each process has its own loopback address, so that no other takes a port while its daemon is down.
 HOST = f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.1"
-_given_ports = set()
-
-
-def free_port():
-    """A port below the range that the kernel gives to outgoing connections, never given before by this process."""
-    while True:
-        port = random.randint(12_000, 30_000)
-        if port in _given_ports:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        _given_ports.add(port)
-        return port
 
 
 async def read_message(reader):
@@ -90,7 +72,7 @@
     """Serves one port with `handle(first, headers, body) -> bytes | None`; None leaves the request unanswered."""
 
     def __init__(self, port=0):
-        self.port = port or free_port()
+        self.port = port or free_port(HOST)
         self.server = None
         self.writers = set()
 
@@ -300,71 +282,26 @@
             pass  # not acknowledged, so nothing is promised
 
 
-class Proxy:
-    """Forwards connections to a port. `mode`: ok, delay, silent (both ways), cut (one way); `reset` ends all connections."""
-
-    def __init__(self, target_port):
-        self.port, self.target_port = free_port(), target_port
-        self.mode = "ok"
-        self.server = None
-        self.writers = set()
-
-    async def open(self):
-        self.server = await asyncio.start_server(self._accept, HOST, self.port)
-
-    async def _accept(self, reader, writer):
-        try:
-            to_reader, to_writer = await asyncio.open_connection(HOST, self.target_port)
-        except OSError:
-            writer.close()
-            return
-        self.writers |= {writer, to_writer}
-        await asyncio.gather(self._pump(reader, to_writer, True), self._pump(to_reader, writer, False))
-        self.writers -= {writer, to_writer}
-
-    async def _pump(self, reader, writer, inward):
-        try:
-            while data := await reader.read(65536):
-                if self.mode == "delay":
-                    await asyncio.sleep(0.1)
-                while self.mode == "silent" or (self.mode == "cut" and inward):
-                    await asyncio.sleep(0.02)
-                writer.write(data)
-                await writer.drain()
-        except ConnectionError:
-            pass
-        writer.close()
-
-    def reset(self):
-        for writer in list(self.writers):
-            writer.transport.abort()
-
-    def close(self):
-        self.server.close()
-        self.reset()
-
-
 class Daemon:
-    """One `endive_sidecar` process with its backend server and the proxy in front of its peer port."""
+    """One `endive_sidecar` process with its backend server. Other daemons reach it through the proxy."""
 
-    def __init__(self, directory, ledger, store, name, service):
-        self.directory, self.store, self.name, self.service = pathlib.Path(directory), store, name, service
+    def __init__(self, directory, ledger, store, proxy, name, service):
+        self.directory, self.store, self.proxy = pathlib.Path(directory), store, proxy
+        self.name, self.service = name, service
         self.backend = Backend(ledger, name, service)
-        self.callers_port, self.peers_port, self.ready_port = free_port(), free_port(), free_port()
-        self.announce_port = free_port()
-        self.proxy = Proxy(self.peers_port)
+        self.callers_port, self.peers_port, self.ready_port = free_port(HOST), free_port(HOST), free_port(HOST)
+        self.announce_port = free_port(HOST)
         self.process = None
         self.log_path = self.directory / f"{name}.log"
 
     async def prepare(self, **more):
-        await self.proxy.open()
         self.backend.announce_port = self.announce_port
         await self.backend.start()
         settings = {
             "name": self.name, "service": self.service, "endpoint_address": f"{HOST}:{self.backend.port}",
             "failure_domain": "z", "heartbeat_interval": f"{int(HEARTBEAT_S * 1000)}ms",
             "callers_address": f"{HOST}:{self.callers_port}", "peers_address": f"{HOST}:{self.peers_port}",
-            "advertised_peer_address": f"{HOST}:{self.proxy.port}", "readiness_address": f"{HOST}:{self.ready_port}",
+            "advertised_peer_address": self.proxy.pair(self.name, f"{HOST}:{self.peers_port}"), "readiness_address": f"{HOST}:{self.ready_port}",
             "announcements_address": f"{HOST}:{self.announce_port}", "memory_mb": 64,
             "store_address": f"{HOST}:{await self.store.port_for(self.name)}", "stop_grace": "6000ms",
             "retry_slack": 60, **more}
@@ -391,7 +328,6 @@
         self.signal(signal.SIGCONT)
         await self.end(signal.SIGKILL)
         self.backend.crash()
-        self.proxy.close()
 
 
 def configuration(version, services):
@@ -424,7 +360,8 @@
 
     async def __aenter__(self):
         self.store = Store()
-        self.daemons = [Daemon(self.directory, self.ledger, self.store, f"{service}{i}", service)
+        self.proxy = Proxy("fault_proxy", self.directory)
+        self.daemons = [Daemon(self.directory, self.ledger, self.store, self.proxy, f"{service}{i}", service)
                         for service in self.services for i in range(self.daemons_per_service)]
         self.change_configuration()
         for daemon in self.daemons:
@@ -436,6 +373,7 @@
         for daemon in self.daemons:
             await daemon.close()
         self.store.close()
+        self.proxy.close()
 
     def change_configuration(self):
         self.version += 1
