--- a/tests/sidecar/loopback.h
+++ b/tests/sidecar/loopback.h
@@ -48,6 +48,13 @@
     return done();
 }
 
+/// Runs up to so many handlers and waits a few milliseconds for each, so that what is under way gets on.
+inline void run_steps(boost::asio::io_context& loop, int steps) {
+    for (int step = 0; step < steps; ++step) {
+        loop.run_one_for(std::chrono::milliseconds{5});
+    }
+}
+
 /// A client that sends raw bytes and keeps what it gets.
 class raw_client {
 public:
--- a/tests/sidecar/path_test.cpp
+++ b/tests/sidecar/path_test.cpp
@@ -135,9 +135,7 @@
             if (last.find(wanted) != std::string::npos) {
                 return last;
             }
-            for (int k = 0; k < 10; ++k) {
-                loop.run_one_for(10ms);
-            }
+            run_steps(loop, 20);
         }
         return last;
     }
@@ -166,9 +164,7 @@
     f.store.hold_reads("endiveledge");
     vm front{f.loop, f.clock, f.store, "vm-a", "web"};
     vm back{f.loop, f.clock, f.store, "vm-b", "books"};
-    for (int i = 0; i < 20; ++i) {
-        f.loop.run_one_for(5ms);
-    }
+    run_steps(f.loop, 20);
     f.store.release_reads();
     CHECK(f.ask(front.settings.callers_address, "served by").find("served by i-vm-b") != std::string::npos);
 }
@@ -210,9 +206,7 @@
     // The peer's rows are known once it has announced itself, well before the clock moves.
     REQUIRE(run_until(loop, [&] { return counters().find("endive_peer_links 1") != std::string::npos; }));
     clock.advance(200ms);
-    for (int i = 0; i < 20; ++i) {
-        loop.run_one_for(5ms);
-    }
+    run_steps(loop, 20);
     CHECK(counters().find("fetch") == std::string::npos);
     // A store that does not answer is passed over.
     CHECK(run_until(loop, [&] {
@@ -318,9 +312,7 @@
     for (int i = 0; i < 100 && !served(); ++i) {
         clock.advance(100ms);
         client.send(read_call("id" + std::to_string(i), 4000ms));
-        for (int k = 0; k < 10; ++k) {
-            loop.run_one_for(5ms);
-        }
+        run_steps(loop, 10);
     }
     REQUIRE(served());
     only.holding = true;
