Tell an attempt left on a silent link from a closed link in the log

An attempt that was given up because its link was silent had the reason peer_lost, as one whose link was closed. It is peer_silent now.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -442,9 +442,11 @@
     caller_left,
     bad_request,
     memory,
-    stopping, ///< the daemon is shutting down
-    retired,  ///< the endpoint runs a version that has been replaced
+    stopping,    ///< the daemon is shutting down
+    retired,     ///< the endpoint runs a version that has been replaced
+    peer_silent, ///< the link to the other daemon went silent; the attempt was replaced by another
 };
+inline constexpr reason last_reason = reason::peer_silent;
 [[nodiscard]] std::string_view to_string(reason value);
 
 // ---- rollouts ---------------------------------------------------------------------------------------------
--- a/src/mesh/gate.cpp
+++ b/src/mesh/gate.cpp
@@ -283,6 +283,8 @@
         return "stopping";
     case reason::retired:
         return "retired";
+    case reason::peer_silent:
+        return "peer_silent";
     }
     return "none";
 }
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -535,7 +535,7 @@
             continue;
         }
         ++item->sent;
-        item->attempts.back().end(mesh::attempt_outcome::unknown, mesh::reason::peer_lost, now);
+        item->attempts.back().end(mesh::attempt_outcome::unknown, mesh::reason::peer_silent, now);
         counters_.add("retry_peer_silent");
         cancel_attempt(*item);
         attempt(item);
--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -82,6 +82,7 @@
     }
 
     [[nodiscard]] std::size_t open_exchanges() const { return pending_.size(); }
+    [[nodiscard]] bool sending() const { return connection_->sending(); }
 
 private:
     struct pending {
@@ -298,6 +299,12 @@
     return count;
 }
 
+std::size_t http_server::unsent_sessions() const {
+    return static_cast<std::size_t>(
+        std::count_if(sessions_.begin(), sessions_.end(),
+                      [](const std::shared_ptr<http_session>& session) { return session->sending(); }));
+}
+
 http_message own_response(unsigned status, std::string body) {
     http_message response;
     response.status = status;
--- a/src/sidecar/messages.cpp
+++ b/src/sidecar/messages.cpp
@@ -169,7 +169,7 @@
 }
 
 reply_message decode(const wire::reply& value) {
-    if (value.reason() > static_cast<std::uint8_t>(mesh::reason::retired) ||
+    if (value.reason() > static_cast<std::uint8_t>(mesh::last_reason) ||
         value.result() > wire::outcome::unknown) {
         throw error{result_code::peer_frame_malformed, "unknown outcome or reason in a reply message"};
     }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -553,7 +553,8 @@
     }
     log(event::stopped, {{"elapsed_ms", std::chrono::duration_cast<milliseconds>(elapsed).count()},
                          {"open_requests", forwarder_.open_requests()},
-                         {"open_jobs", local_.open_jobs()}});
+                         {"open_jobs", local_.open_jobs()},
+                         {"unsent_responses", callers_.unsent_sessions()}});
     loop_.stop();
 }
 
