Keep an attempt on a silent link open while its replacement is asked for

Cause: a safe request on a link without an answer to a ping for 250 ms was cancelled there before another endpoint had accepted it. When all others refused, nothing was left to wait for. Change: the silent attempt stays open. The request is sent to another endpoint besides, within attempts and budget; the first response is delivered and the other attempt cancelled. When all others refuse it goes on waiting. Test: "a safe request on a silent link is not given up while no other endpoint takes it" failed before (502). The VM of the path tests moved to tests/sidecar/vm.h.

--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -112,6 +112,17 @@
     }
 };
 
+/// An attempt without a reply so far.
+struct open_call {
+    std::size_t attempt = 0; ///< index into the request's attempts
+    call_target* target = nullptr;
+    std::shared_ptr<peer_link> link; ///< keeps `target` alive; null for this daemon's own endpoint
+    std::uint64_t id = 0;
+    time_point next_replacement{}; ///< when another endpoint may be tried if the link is silent
+
+    [[nodiscard]] bool is_silent(time_point now) const { return link && link->is_suspect(now); }
+};
+
 /// A request between its arrival and its response.
 struct forwarder::active_request {
     std::shared_ptr<exchange> caller;
@@ -126,15 +137,12 @@
     duration age{0}; ///< since the caller's first request, at arrival
     version_choice version;
     std::vector<attempt_trace> attempts;
-    std::uint32_t sent = 0; ///< attempts that reached an endpoint or may have done so
+    std::uint32_t sent = 0; ///< ended attempts that reached an endpoint or may have done so
     std::uint32_t refusals = 0;
     std::uint32_t skipped_full = 0; ///< endpoints skipped because they recently rejected a similar request
     duration retry_after{0};        ///< minimum over the refusals
     mesh::reason last_refusal = mesh::reason::no_endpoint;
-    call_target* target = nullptr;
-    std::shared_ptr<peer_link> link; ///< keeps `target` alive
-    std::uint64_t call_id = 0;
-    std::uint64_t attempt_number = 0;
+    std::vector<open_call> calls; ///< more than one while an attempt on a silent link is being replaced
     std::optional<reply_message> failed_answer; ///< the endpoint's error response, if no retry succeeds
 
     void record_refusal(mesh::reason why, duration wait) {
@@ -144,6 +152,13 @@
     [[nodiscard]] mesh::admission_criteria admission(time_point now) const {
         return {route->priority, route->latency_target, deadline - now, now - arrived + age};
     }
+    /// Attempts that count against the route's maximum.
+    [[nodiscard]] std::size_t attempts_used() const { return sent + calls.size(); }
+    /// True when an attempt is open on a link that is not silent.
+    [[nodiscard]] bool has_responsive_call(time_point now) const {
+        return std::any_of(calls.begin(), calls.end(),
+                           [&](const open_call& call) { return !call.is_silent(now); });
+    }
 };
 
 /// An endpoint that a request may be sent to.
@@ -171,7 +186,7 @@
     caller->on_abandoned([this, item] {
         counters_.add("caller_left");
         log_outcome(event::request_abandoned, *item, 0, mesh::reason::caller_left);
-        cancel_attempt(*item);
+        cancel_calls(*item);
         release(item);
     });
     if (held_bytes_ > max_held_bytes()) {
@@ -252,7 +267,7 @@
             return entry.about->version == version.target_version;
         };
         const bool any_new = std::any_of(options.begin(), options.end(), is_new);
-        const bool use_new = version.only_new || (version.use_new && any_new && item.sent == 0);
+        const bool use_new = version.only_new || (version.use_new && any_new && item.attempts_used() == 0);
         std::erase_if(options, [&](const endpoint_option& entry) {
             return is_new(entry) != use_new || entry.about->version.empty();
         });
@@ -341,40 +356,46 @@
     const auto load_age = target.remote == nullptr ? duration{0} : now - target.remote->load_time;
     item->attempts.push_back(
         {daemon, mesh::expected_time(target.facts, criteria), target.facts.load.outstanding, load_age, now});
-    const auto number = ++item->attempt_number;
+    const auto index = item->attempts.size() - 1;
     auto call = make_call(*item, *target.about, now);
-    auto done = [this, item, daemon, number](reply_message reply) {
-        if (number == item->attempt_number && !item->caller->finished()) {
-            item->target = nullptr;
-            item->link.reset();
-            on_reply(item, daemon, std::move(reply));
+    auto done = [this, item, index](reply_message reply) {
+        const auto ended =
+            std::erase_if(item->calls, [&](const open_call& entry) { return entry.attempt == index; });
+        if (ended > 0 && !item->caller->finished()) {
+            on_reply(item, index, std::move(reply));
         }
     };
-    call_target* executor = &local_;
+    open_call opened;
+    opened.attempt = index;
+    opened.target = &local_;
     if (target.remote != nullptr) {
         ++target.remote->sent_since_load;
-        item->link = target.remote->link;
-        executor = item->link.get();
-    }
-    item->target = executor;
-    const auto id = executor->execute(std::move(call), std::move(done));
-    if (number == item->attempt_number) {
-        item->call_id = id;
+        opened.link = target.remote->link;
+        opened.target = opened.link.get();
+    }
+    item->calls.push_back(opened);
+    const auto id = opened.target->execute(std::move(call), std::move(done));
+    // The reply may have arrived before `execute` returned.
+    for (auto& entry : item->calls) {
+        if (entry.attempt == index) {
+            entry.id = id;
+        }
     }
 }
 
 bool forwarder::take_retry(const active_request& item) {
     const bool time_left = clock_.now() + item.route->latency_target / 4 < item.deadline;
-    return time_left && item.sent < item.route->max_attempts && retry_budget_for(item.service).take();
+    return time_left && item.attempts_used() < item.route->max_attempts &&
+           retry_budget_for(item.service).take();
 }
 
-void forwarder::on_reply(const std::shared_ptr<active_request>& item, const std::string& daemon,
+void forwarder::on_reply(const std::shared_ptr<active_request>& item, std::size_t index,
                          reply_message reply) {
-    auto* entry = peers_.find(daemon);
-    item->attempts.back().end(reply.outcome, reply.why, clock_.now());
-    const bool safe = item->route->kind == mesh::request_kind::safe;
+    const auto now = clock_.now();
+    auto* entry = peers_.find(item->attempts[index].daemon);
+    item->attempts[index].end(reply.outcome, reply.why, now);
     if (reply.outcome == mesh::attempt_outcome::not_run) {
-        on_not_run(item, reply);
+        on_not_run(item, index, reply);
         return;
     }
     ++item->sent;
@@ -390,11 +411,15 @@
     if (reply.outcome == mesh::attempt_outcome::answered) {
         item->failed_answer = std::move(reply);
     }
-    if (safe && take_retry(*item)) {
+    const bool safe = item->route->kind == mesh::request_kind::safe;
+    if (safe && !item->has_responsive_call(now) && take_retry(*item)) {
         counters_.add("retry_" + std::string{to_string(why)});
         attempt(item);
         return;
     }
+    if (!item->calls.empty()) {
+        return; // another attempt may still answer
+    }
     if (item->failed_answer) {
         deliver(item, std::move(*item->failed_answer));
     } else if (why == mesh::reason::timed_out) {
@@ -404,14 +429,18 @@
     }
 }
 
-void forwarder::on_not_run(const std::shared_ptr<active_request>& item, const reply_message& reply) {
+void forwarder::on_not_run(const std::shared_ptr<active_request>& item, std::size_t index,
+                           const reply_message& reply) {
+    const auto now = clock_.now();
     ++item->refusals;
     item->record_refusal(reply.why, reply.retry_after);
-    auto* entry = peers_.find(item->attempts.back().daemon);
+    auto* entry = peers_.find(item->attempts[index].daemon);
     if (entry != nullptr && reply.why == mesh::reason::no_room) {
-        const auto now = clock_.now();
         entry->refusals.on_refused(item->admission(now), reply.retry_after, now);
     }
+    if (item->has_responsive_call(now)) {
+        return;
+    }
     const bool reached_endpoint =
         reply.why == mesh::reason::endpoint_refused || reply.why == mesh::reason::wrong_endpoint;
     // A request refused by the endpoint itself did arrive there, so another attempt counts against the shared
@@ -425,6 +454,9 @@
 }
 
 void forwarder::answer_without_endpoint(const std::shared_ptr<active_request>& item, duration retry_after) {
+    if (!item->calls.empty()) {
+        return; // an attempt on a silent link may still answer
+    }
     if (item->failed_answer) {
         deliver(item, std::move(*item->failed_answer));
     } else if (item->sent > 0) {
@@ -466,7 +498,7 @@
 
 void forwarder::answer(const std::shared_ptr<active_request>& item, http_message response) {
     release(item);
-    cancel_attempt(*item);
+    cancel_calls(*item);
     item->caller->respond(std::move(response));
 }
 
@@ -507,20 +539,17 @@
     return static_cast<std::size_t>(settings_.memory_mb) * bytes_per_mb / body_memory_divisor;
 }
 
-void forwarder::cancel_attempt(active_request& item) {
-    ++item.attempt_number;
-    if (item.target != nullptr) {
-        item.target->cancel(item.call_id);
-        item.target = nullptr;
-        item.link.reset();
+void forwarder::cancel_calls(active_request& item) {
+    for (const auto& call : std::exchange(item.calls, {})) {
+        call.target->cancel(call.id);
     }
 }
 
-void forwarder::retry_on_silent_links(time_point now) {
+void forwarder::replace_silent_attempts(time_point now) {
     std::vector<std::shared_ptr<active_request>> waiting;
     for (const auto& item : open_) {
-        const bool silent = item->link && item->link->is_suspect(now);
-        if (silent && item->route->kind == mesh::request_kind::safe) {
+        const bool repeatable = !item->calls.empty() && item->route->kind == mesh::request_kind::safe;
+        if (repeatable && !item->has_responsive_call(now) && now >= item->calls.back().next_replacement) {
             waiting.push_back(item);
         }
     }
@@ -529,21 +558,20 @@
         const bool other_available =
             std::any_of(options.begin(), options.end(),
                         [](const endpoint_option& entry) { return entry.facts.failures < suspect_failures; });
-        // The silent attempt may have run. Unless the request is retried, its response may still arrive.
-        const bool attempts_left = item->sent + 1 < item->route->max_attempts;
-        if (!other_available || !attempts_left || !take_retry(*item)) {
+        if (!other_available || !take_retry(*item)) {
             continue;
         }
-        ++item->sent;
-        item->attempts.back().end(mesh::attempt_outcome::unknown, mesh::reason::peer_silent, now);
+        // The silent attempt stays open: it may be running, and the others may all refuse the request.
+        auto& silent = item->calls.back();
+        item->attempts[silent.attempt].why = mesh::reason::peer_silent;
+        silent.next_replacement = now + default_retry_after;
         counters_.add("retry_peer_silent");
-        cancel_attempt(*item);
         attempt(item);
     }
 }
 
 void forwarder::tick(time_point now) {
-    retry_on_silent_links(now);
+    replace_silent_attempts(now);
     std::vector<std::shared_ptr<active_request>> expired;
     for (const auto& item : open_) {
         if (item->route != nullptr && item->deadline <= now) {
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -33,9 +33,10 @@
     /// one.
     void remove_full(std::vector<endpoint_option>& options, active_request& item, time_point now);
     [[nodiscard]] std::vector<endpoint_option> ready_options(const std::string& service) const;
-    void on_reply(const std::shared_ptr<active_request>& item, const std::string& daemon,
-                  reply_message reply);
-    void on_not_run(const std::shared_ptr<active_request>& item, const reply_message& reply);
+    /// Handles the reply to the attempt with this index.
+    void on_reply(const std::shared_ptr<active_request>& item, std::size_t index, reply_message reply);
+    void on_not_run(const std::shared_ptr<active_request>& item, std::size_t index,
+                    const reply_message& reply);
     /// Takes a retry from the budget; false when time, attempts or budget do not allow one.
     [[nodiscard]] bool take_retry(const active_request& item);
     [[nodiscard]] call_message make_call(const active_request& item, const mesh::member& about,
@@ -43,13 +44,13 @@
     void deliver(const std::shared_ptr<active_request>& item, reply_message reply);
     void refuse(const std::shared_ptr<active_request>& item, mesh::reason why, duration retry_after);
     void fail(const std::shared_ptr<active_request>& item, unsigned status, mesh::reason why);
-    /// Answers when no endpoint is left, according to the outcome of the attempts so far.
+    /// Answers when no endpoint is left and no attempt is open, according to the outcome of the attempts.
     void answer_without_endpoint(const std::shared_ptr<active_request>& item, duration retry_after);
     void answer(const std::shared_ptr<active_request>& item, http_message response);
-    void cancel_attempt(active_request& item);
-    /// Retries safe requests whose attempt is on a link that has gone silent, if another endpoint is
-    /// available.
-    void retry_on_silent_links(time_point now);
+    void cancel_calls(active_request& item);
+    /// Also sends safe requests whose attempts are all on silent links to another endpoint, if one is
+    /// available. The first response is delivered.
+    void replace_silent_attempts(time_point now);
     /// Removes an ended request and its body from the accounting.
     void release(const std::shared_ptr<active_request>& item);
     /// Maximum bytes of request bodies held at the same time.
--- a/tests/sidecar/path_test.cpp
+++ b/tests/sidecar/path_test.cpp
@@ -1,9 +1,7 @@
 // End-to-end tests of the request path on loopback: daemons, a store stand-in and backend servers in one
 // event loop.
 
-#include "sidecar/sidecar.h"
-
-#include "sidecar/store_stand_in.h"
+#include "sidecar/vm.h"
 
 #include <algorithm>
 
@@ -16,107 +14,6 @@
 
 namespace {
 
-std::string configuration(int version, const std::string& service) {
-    const json limits{{"MaxHeaderBytes", 16384},
-                      {"MaxBodyBytes", 1000000},
-                      {"HeaderTimeout", "3000ms"},
-                      {"IdleTimeout", "15000ms"}};
-    const json route{{"Hostname", "a.example"}, {"Prefix", "/x/"},           {"RouteType", "safe"},
-                     {"Timeout", "5000ms"},     {"TargetLatency", "1000ms"}, {"Service", service},
-                     {"MaxAttempts", 2}};
-    const json resources =
-        json::array({{{"ResourceType", "Routes"}, {"Metadata", {{"Name", "r"}}}, {"Spec", route}},
-                     {{"ResourceType", "Services"},
-                      {"Metadata", {{"Name", service}}},
-                      {"Spec", {{"HealthCheck", "/health"}, {"MaxConnections", 100}}}},
-                     {{"ResourceType", "Limits"}, {"Metadata", json::object()}, {"Spec", limits}}});
-    return json{{"Version", "r" + std::to_string(version)}, {"Resources", resources}}.dump();
-}
-
-std::string read_call(const std::string& id, milliseconds allowed) {
-    return "GET /x/1 HTTP/1.1\r\nHost: a.example\r\n" + std::string{platform_wire::request_id_header} + ": " +
-           id + "\r\n" + std::string{platform_wire::remaining_time_header} + ": " +
-           std::to_string(allowed.count()) + "\r\n\r\n";
-}
-
-/// One VM: a backend server and the daemon beside it.
-struct vm {
-    vm(boost::asio::io_context& loop, const clock_source& clock, const store_stand_in& store,
-       const std::string& name, const std::string& service, std::int64_t memory_mb = 256)
-        : endpoint_id{"i-" + name}, endpoint_address{free_address()},
-          backend{loop, clock, endpoint_address,
-                  [this](const std::shared_ptr<exchange>& call) { serve(call); }} {
-        settings.name = name;
-        settings.service = service;
-        settings.endpoint_address = endpoint_address;
-        settings.failure_domain = "z";
-        settings.callers_address = free_address();
-        settings.peers_address = free_address();
-        settings.readiness_address = free_address();
-        settings.announcements_address = free_address();
-        settings.metrics_address = free_address();
-        settings.store_address = store.address();
-        settings.memory_mb = memory_mb;
-        daemon = std::make_unique<endive::sidecar::sidecar>(loop, clock, settings);
-        daemon->start();
-    }
-
-    void serve(const std::shared_ptr<exchange>& call) {
-        http_message response;
-        response.status = 200;
-        const auto& request = call->request();
-        if (request.target == "/health") {
-            response.headers.push_back({std::string{platform_wire::endpoint_id_header}, endpoint_id});
-            response.headers.push_back({std::string{platform_wire::load_header}, "0,0,4"});
-        } else if (holding) {
-            held.push_back(call);
-            return;
-        } else {
-            const auto id = std::string{find_header(request.headers, platform_wire::request_id_header)};
-            expected_ids.push_back(
-                std::string{find_header(request.headers, platform_wire::expected_endpoint_header)});
-            callers.push_back(
-                std::string{find_header(request.headers, platform_wire::caller_service_header)});
-            response.headers.push_back({std::string{platform_wire::request_id_header}, id});
-            response.body = "served by " + endpoint_id;
-        }
-        call->respond(std::move(response));
-    }
-
-    std::string heartbeat(std::uint64_t sequence, const std::string& state = "ready") const {
-        const json body{{"Service", settings.service},
-                        {"Address", endpoint_address},
-                        {"Zone", "z"},
-                        {"Version", "v1"},
-                        {"Slots", 4},
-                        {"State", state},
-                        {"ColdRemaining", "0ms"},
-                        {"Sequence", sequence},
-                        {"born", 1000}};
-        const auto text = body.dump();
-        return "POST /-/rpc?call=instances.heartbeat&of=" + endpoint_id +
-               " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
-    }
-
-    /// Answers the requests that arrived while `holding`.
-    void release() {
-        holding = false;
-        for (const auto& call : std::exchange(held, {})) {
-            serve(call);
-        }
-    }
-
-    bool holding = false;
-    std::vector<std::shared_ptr<exchange>> held;
-    std::string endpoint_id;
-    std::string endpoint_address;
-    http_server backend;
-    sidecar_settings settings;
-    std::vector<std::string> expected_ids;
-    std::vector<std::string> callers;
-    std::unique_ptr<endive::sidecar::sidecar> daemon;
-};
-
 struct mesh_fixture {
     boost::asio::io_context loop;
     system_clock_source clock;
--- /dev/null
+++ b/tests/sidecar/silent_link_test.cpp
@@ -0,0 +1,121 @@
+// Requests in flight on a link whose other daemon does not answer for some time, on a loopback event loop.
+
+#include "sidecar/vm.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+using namespace endive;
+using namespace endive::sidecar;
+using namespace endive::sidecar::test;
+
+namespace {
+
+/// Daemons and backend servers of three VMs: callers use `front`; `back` and `silent` serve `books`. The loop
+/// of `silent` can be paused while time passes.
+struct silent_link_fixture {
+    explicit silent_link_fixture(const std::string& kind) {
+        store.put("op", "config", configuration(3, "books", kind));
+        front = std::make_unique<vm>(loop, clock, store, "vm-a", "web");
+        back = std::make_unique<vm>(loop, clock, store, "vm-b", "books");
+        silent = std::make_unique<vm>(silent_loop, clock, store, "vm-d", "books");
+        raw_client client{loop, front->settings.callers_address};
+        const auto seen = [&](const std::string& text) {
+            return client.received().find(text) != std::string::npos;
+        };
+        for (int i = 0; i < 1000 && !(seen("served by i-vm-b") && seen("served by i-vm-d")); ++i) {
+            clock.advance(20ms);
+            client.send(read_call("warm" + std::to_string(i), 4000ms));
+            run_both(5);
+        }
+        REQUIRE(seen("served by i-vm-b"));
+        REQUIRE(seen("served by i-vm-d"));
+        run_both(100);
+    }
+
+    void run_both(int steps) {
+        for (int step = 0; step < steps; ++step) {
+            loop.restart();
+            silent_loop.restart();
+            loop.run_one_for(2ms);
+            silent_loop.run_one_for(2ms);
+        }
+    }
+
+    /// Sends requests until one runs at the silent VM's endpoint, which keeps it open. Returns its caller.
+    raw_client& start_at_silent(milliseconds allowed) {
+        silent->holding = true;
+        for (int i = 0; i < 100 && silent->held.empty(); ++i) {
+            callers.push_back(std::make_unique<raw_client>(loop, front->settings.callers_address));
+            callers.back()->send(read_call("held" + std::to_string(i), allowed));
+            run_both(30);
+        }
+        REQUIRE(silent->held.size() == 1);
+        return *callers.back();
+    }
+
+    /// Lets time pass while the silent VM does not run.
+    void pass_silently(milliseconds time) {
+        constexpr milliseconds step = 50ms;
+        for (milliseconds passed = 0ms; passed < time; passed += step) {
+            clock.advance(step);
+            for (int k = 0; k < 10; ++k) {
+                loop.restart();
+                loop.run_one_for(2ms);
+            }
+        }
+    }
+
+    boost::asio::io_context loop;
+    boost::asio::io_context silent_loop;
+    manual_clock clock;
+    store_stand_in store{loop, clock};
+    std::unique_ptr<vm> front;
+    std::unique_ptr<vm> back;
+    std::unique_ptr<vm> silent;
+    std::vector<std::unique_ptr<raw_client>> callers;
+};
+
+bool has(const raw_client& caller, const std::string& text) {
+    return caller.received().find(text) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against cancelling the run of a safe request on a silent link before another endpoint has accepted
+// the request: when all others refused it, its caller got 502 although the run was about to succeed.
+TEST_CASE("a safe request on a silent link is not given up while no other endpoint takes it") {
+    silent_link_fixture f{"safe"};
+    auto& caller = f.start_at_silent(4000ms);
+    f.back->refusing = true;
+    f.pass_silently(1000ms);
+    CHECK(caller.received().empty());
+    f.silent->release();
+    f.run_both(200);
+    CHECK(has(caller, "served by i-vm-d"));
+}
+
+// Guards against two responses, or a wrong one, when the silent link and the other endpoint both answer.
+TEST_CASE("a safe request that runs twice because of a silent link gets one response") {
+    silent_link_fixture f{"safe"};
+    auto& caller = f.start_at_silent(4000ms);
+    f.pass_silently(1000ms);
+    CHECK(has(caller, "served by i-vm-b"));
+    f.silent->release();
+    f.run_both(200);
+    CHECK_FALSE(has(caller, "served by i-vm-d"));
+}
+
+// Guards against sending new requests to a daemon whose link has been silent for long.
+TEST_CASE("new requests avoid a daemon whose link is silent") {
+    silent_link_fixture f{"unsafe"};
+    (void)f.start_at_silent(4500ms);
+    f.pass_silently(2500ms);
+    raw_client caller{f.loop, f.front->settings.callers_address};
+    for (int i = 0; i < 5; ++i) {
+        caller.send(read_call("new" + std::to_string(i), 1000ms));
+        f.pass_silently(50ms);
+        CHECK(caller.expect("served by i-vm-b", i + 1));
+    }
+}
