Retire a silent link instead of closing it with calls running

Cause: closing a link ends its calls on both sides. Silence says that the other daemon is slow, frozen or gone; only the first loss is certain. Same class as the attempts cancelled on suspicion: running work was ended by a guess. A new link replaces the current one, since the other side opens it only when it has none that answers. Test: "a request that may not be repeated gets its response after its link was silent" failed before (502).

--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -15,9 +15,9 @@
 constexpr duration ping_after_idle = milliseconds{5000};
 /// A link whose ping is unanswered for this long is suspect and avoided for new requests.
 constexpr duration suspect_timeout = milliseconds{250};
-/// A link whose ping is unanswered for this long is closed. TCP retransmits lost packets after 200 to 400 ms,
-/// so the timeout allows for two consecutive retransmissions.
-constexpr duration dead_timeout = milliseconds{1500};
+/// A link whose ping is unanswered for this long is retired. TCP retransmits lost packets after 200 to 400
+/// ms, so the timeout allows for two consecutive retransmissions.
+constexpr duration retire_timeout = milliseconds{1500};
 
 std::string_view kind_of(const peer_message& message) {
     static constexpr std::array<std::string_view, 6> names{"call",     "cancel", "reply",
@@ -144,13 +144,19 @@
     if (ended_) {
         return;
     }
+    if (retired_ && pending_.empty() && serving_.empty()) {
+        close();
+        return;
+    }
     if (ping_sent_) {
-        if (now - *ping_sent_ > dead_timeout) {
+        if (!retired_ && now - *ping_sent_ > retire_timeout) {
             log(event::peer_silent,
                 {{"peer", daemon_},
                  {"silent_ms", std::chrono::duration_cast<milliseconds>(now - last_received_).count()},
-                 {"open_calls", pending_.size()}});
-            close();
+                 {"open_calls", pending_.size()},
+                 {"running", serving_.size()}});
+            retired_ = true;
+            events_.on_silent(shared_from_this());
         }
         return;
     }
--- a/src/sidecar/peer_link.h
+++ b/src/sidecar/peer_link.h
@@ -22,6 +22,8 @@
     virtual void on_announce(const std::shared_ptr<peer_link>& link, announce_message message) = 0;
     virtual void on_fetch(const std::shared_ptr<peer_link>& link, const fetch_message& message) = 0;
     virtual void on_load(const std::shared_ptr<peer_link>& link, const mesh::endpoint_load& load) = 0;
+    /// The link has been retired.
+    virtual void on_silent(const std::shared_ptr<peer_link>& link) = 0;
     virtual void on_down(const std::shared_ptr<peer_link>& link) = 0;
 };
 
@@ -54,7 +56,12 @@
     [[nodiscard]] bool is_open() const { return connection_->is_open(); }
     /// A ping has been unanswered for longer than the suspect timeout.
     [[nodiscard]] bool is_suspect(time_point now) const;
-    /// Pings an idle link and closes one that no longer answers. Call about every 100 ms.
+    /// The other daemon has not answered for long, so the link takes no new calls. It stays open until its
+    /// calls have ended: the other daemon may only be slow, and closing the link would end runs at both
+    /// endpoints.
+    [[nodiscard]] bool is_retired() const { return retired_; }
+    /// Pings an idle link, retires one that no longer answers and closes it after its last call. Call about
+    /// every 100 ms.
     void tick(time_point now);
     void close();
 
@@ -76,6 +83,7 @@
     std::map<std::uint64_t, std::uint64_t> serving_; ///< calls received: local id by stream
     time_point last_received_;
     std::optional<time_point> ping_sent_;
+    bool retired_ = false;
     bool ended_ = false;
     counter_set* counters_ = nullptr;
     std::string counter_prefix_;
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -168,7 +168,8 @@
 }
 
 void peer_set::on_announce(const std::shared_ptr<peer_link>& link, announce_message message) {
-    if (link->daemon().empty()) {
+    const bool is_new = link->daemon().empty();
+    if (is_new) {
         if (message.members.empty() || message.members.front().daemon == self_.daemon) {
             link->close();
             return;
@@ -181,15 +182,16 @@
         update_member(about);
     }
     auto* entry = find(link->daemon());
-    if (entry != nullptr && entry->link && entry->link->daemon_start() < link->daemon_start()) {
-        const auto stale = entry->link; // belongs to an earlier start of that daemon
-        entry->link = link;
-        stale->close();
-    } else if (entry != nullptr && !entry->link) {
+    if (entry != nullptr && !link->is_retired() && (is_new || !entry->link)) {
+        // The other daemon opens a link when it has none that answers, so a new one is preferred.
+        const bool was_down = !entry->link;
         entry->link = link;
         entry->dial_backoff = duration{0};
         entry->unreachable_since.reset();
-        log(event::peer_up, {{"peer", link->daemon()}});
+        if (was_down) {
+            log(event::peer_up, {{"peer", link->daemon()}});
+        }
+        close_links_before(*link);
     }
     if (message.load) {
         on_load(link, *message.load);
@@ -235,15 +237,35 @@
     }
 }
 
+/// Closes the links to earlier starts of the daemon at the other end of `link`.
+void peer_set::close_links_before(const peer_link& link) {
+    const auto links = links_;
+    for (const auto& other : links) {
+        if (other->daemon() == link.daemon() && other->daemon_start() < link.daemon_start()) {
+            other->close();
+        }
+    }
+}
+
 void peer_set::on_down(const std::shared_ptr<peer_link>& link) {
     links_.erase(link);
+    replace_link(link);
+}
+
+void peer_set::on_silent(const std::shared_ptr<peer_link>& link) {
+    replace_link(link);
+}
+
+/// Selects another link to the daemon at the other end of `link`, which takes no more calls, or connects
+/// again.
+void peer_set::replace_link(const std::shared_ptr<peer_link>& link) {
     auto* entry = find(link->daemon());
     if (entry == nullptr || entry->link != link) {
         return;
     }
     entry->link.reset();
     for (const auto& other : links_) {
-        if (other->daemon() == link->daemon() && other->is_open()) {
+        if (other->daemon() == link->daemon() && other->is_open() && !other->is_retired()) {
             entry->link = other;
         }
     }
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -69,12 +69,15 @@
     void on_announce(const std::shared_ptr<peer_link>& link, announce_message message) override;
     void on_fetch(const std::shared_ptr<peer_link>& link, const fetch_message& message) override;
     void on_load(const std::shared_ptr<peer_link>& link, const mesh::endpoint_load& load) override;
+    void on_silent(const std::shared_ptr<peer_link>& link) override;
     void on_down(const std::shared_ptr<peer_link>& link) override;
 
 private:
     void dial(peer& entry);
     void add_link(std::shared_ptr<stream> connection);
     void send_hello(peer_link& link);
+    void close_links_before(const peer_link& link);
+    void replace_link(const std::shared_ptr<peer_link>& link);
     enum class audience : std::uint8_t { all, own_domain };
     void broadcast(const peer_message& message, audience to = audience::all);
     void record_missing(const std::string& daemon, const std::vector<mesh::store_row>& heads);
--- a/tests/sidecar/silent_link_test.cpp
+++ b/tests/sidecar/silent_link_test.cpp
@@ -107,6 +107,19 @@
     CHECK_FALSE(has(caller, "served by i-vm-d"));
 }
 
+// Guards against ending the running calls of a link that is silent for long: a request that may not be
+// repeated got 502 although its endpoint finished it.
+TEST_CASE("a request that may not be repeated gets its response after its link was silent") {
+    silent_link_fixture f{"unsafe"};
+    auto& caller = f.start_at_silent(4500ms);
+    f.pass_silently(3000ms);
+    CHECK(caller.received().empty());
+    f.run_both(20);
+    f.silent->release();
+    f.run_both(200);
+    CHECK(has(caller, "served by i-vm-d"));
+}
+
 // Guards against sending new requests to a daemon whose link has been silent for long.
 TEST_CASE("new requests avoid a daemon whose link is silent") {
     silent_link_fixture f{"unsafe"};
