Keep a retired link open for a time after its last call

What callers saw: 502 for a request that had run, when the daemon beside its endpoint had retired the link: the reply was queued and the link closed within 100 ms, which resets the connection and drops what is in flight (found in review). Cause: a retired link was closed as soon as it had no calls. The other daemon does not know that the link is retired until it has the new one, so a call sent in between was lost too. Change: it is closed after 5 s without calls or unsent bytes. A new link of an earlier start never replaces one of a later start. Why it works: by then the other daemon has read the last reply, or the connection has failed by itself. Test: "the last reply on a link that its sender has retired arrives" failed before (84 of 2,000,000 bytes, 502).

--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -18,6 +18,9 @@
 /// A link whose ping is unanswered for this long is retired. TCP retransmits lost packets after 200 to 400
 /// ms, so the timeout allows for two consecutive retransmissions.
 constexpr duration retire_timeout = milliseconds{1500};
+/// Time for which a retired link stays open without calls. The other daemon may have sent a call before it
+/// learned of the new link, and the last reply may still be on its way.
+constexpr duration retired_idle_time = std::chrono::seconds{5};
 
 std::string_view kind_of(const peer_message& message) {
     static constexpr std::array<std::string_view, 6> names{"call",     "cancel", "reply",
@@ -144,9 +147,14 @@
     if (ended_) {
         return;
     }
-    if (retired_ && pending_.empty() && serving_.empty()) {
-        close();
-        return;
+    if (retired_) {
+        const bool busy = !pending_.empty() || !serving_.empty() || connection_->sending();
+        if (busy) {
+            retired_idle_since_ = now;
+        } else if (now - retired_idle_since_ > retired_idle_time) {
+            close();
+            return;
+        }
     }
     if (ping_sent_) {
         if (!retired_ && now - *ping_sent_ > retire_timeout) {
@@ -156,7 +164,8 @@
                  {"open_calls", pending_.size()},
                  {"running", serving_.size()}});
             retired_ = true;
-            events_.on_silent(shared_from_this());
+            retired_idle_since_ = now;
+            events_.on_retired(shared_from_this());
         }
         return;
     }
--- a/src/sidecar/peer_link.h
+++ b/src/sidecar/peer_link.h
@@ -23,7 +23,7 @@
     virtual void on_fetch(const std::shared_ptr<peer_link>& link, const fetch_message& message) = 0;
     virtual void on_load(const std::shared_ptr<peer_link>& link, const mesh::endpoint_load& load) = 0;
     /// The link has been retired.
-    virtual void on_silent(const std::shared_ptr<peer_link>& link) = 0;
+    virtual void on_retired(const std::shared_ptr<peer_link>& link) = 0;
     virtual void on_down(const std::shared_ptr<peer_link>& link) = 0;
 };
 
@@ -60,8 +60,8 @@
     /// calls have ended: the other daemon may only be slow, and closing the link would end runs at both
     /// endpoints.
     [[nodiscard]] bool is_retired() const { return retired_; }
-    /// Pings an idle link, retires one that no longer answers and closes it after its last call. Call about
-    /// every 100 ms.
+    /// Pings an idle link, retires one that no longer answers and closes it some time after its last call.
+    /// Call about every 100 ms.
     void tick(time_point now);
     void close();
 
@@ -84,6 +84,7 @@
     time_point last_received_;
     std::optional<time_point> ping_sent_;
     bool retired_ = false;
+    time_point retired_idle_since_{}; ///< end of the last call or write since the link was retired
     bool ended_ = false;
     counter_set* counters_ = nullptr;
     std::string counter_prefix_;
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -182,8 +182,10 @@
         update_member(about);
     }
     auto* entry = find(link->daemon());
-    if (entry != nullptr && !link->is_retired() && (is_new || !entry->link)) {
-        // The other daemon opens a link when it has none that answers, so a new one is preferred.
+    const bool is_better =
+        entry != nullptr && (!entry->link || (is_new && entry->link->daemon_start() <= link->daemon_start()));
+    if (is_better && !link->is_retired()) {
+        // A daemon that has retired a link opens a new one, while the retired one may look usable from here.
         const bool was_down = !entry->link;
         entry->link = link;
         entry->dial_backoff = duration{0};
@@ -252,7 +254,7 @@
     replace_link(link);
 }
 
-void peer_set::on_silent(const std::shared_ptr<peer_link>& link) {
+void peer_set::on_retired(const std::shared_ptr<peer_link>& link) {
     replace_link(link);
 }
 
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -69,7 +69,7 @@
     void on_announce(const std::shared_ptr<peer_link>& link, announce_message message) override;
     void on_fetch(const std::shared_ptr<peer_link>& link, const fetch_message& message) override;
     void on_load(const std::shared_ptr<peer_link>& link, const mesh::endpoint_load& load) override;
-    void on_silent(const std::shared_ptr<peer_link>& link) override;
+    void on_retired(const std::shared_ptr<peer_link>& link) override;
     void on_down(const std::shared_ptr<peer_link>& link) override;
 
 private:
--- a/tests/sidecar/silent_link_test.cpp
+++ b/tests/sidecar/silent_link_test.cpp
@@ -15,8 +15,8 @@
 /// Daemons and backend servers of three VMs: callers use `front`; `back` and `silent` serve `books`. The loop
 /// of `silent` can be paused while time passes.
 struct silent_link_fixture {
-    explicit silent_link_fixture(const std::string& kind) {
-        store.put("op", "config", configuration(3, "books", kind));
+    explicit silent_link_fixture(const std::string& kind, const std::string& timeout = "5000ms") {
+        store.put("op", "config", configuration(3, "books", kind, timeout));
         front = std::make_unique<vm>(loop, clock, store, "vm-a", "web");
         back = std::make_unique<vm>(loop, clock, store, "vm-b", "books");
         silent = std::make_unique<vm>(silent_loop, clock, store, "vm-d", "books");
@@ -132,3 +132,27 @@
         CHECK(caller.expect("served by i-vm-b", i + 1));
     }
 }
+
+// Guards against closing a retired link right after its last reply was sent: the connection was reset and the
+// reply of a request that had run was lost.
+TEST_CASE("the last reply on a link that its sender has retired arrives") {
+    silent_link_fixture f{"unsafe", "20000ms"};
+    auto& caller = f.start_at_silent(15000ms);
+    f.silent->padding = 2000000;
+    // The caller's daemon does not run, so the other one gets no answer to its ping after 5 s.
+    const auto pass_without_front = [&](milliseconds time) {
+        for (milliseconds passed = 0ms; passed < time; passed += 50ms) {
+            f.clock.advance(50ms);
+            for (int k = 0; k < 10; ++k) {
+                f.silent_loop.restart();
+                f.silent_loop.run_one_for(2ms);
+            }
+        }
+    };
+    pass_without_front(8000ms);
+    f.silent->release();
+    pass_without_front(500ms);
+    f.run_both(1000);
+    CHECK(has(caller, "served by i-vm-d"));
+    CHECK(caller.received().size() > f.silent->padding);
+}
--- a/tests/sidecar/vm.h
+++ b/tests/sidecar/vm.h
@@ -10,13 +10,14 @@
 using namespace std::chrono_literals;
 
 /// A configuration with one route, `/x/` of host `a.example`.
-inline std::string configuration(int version, const std::string& service, const std::string& kind = "safe") {
+inline std::string configuration(int version, const std::string& service, const std::string& kind = "safe",
+                                 const std::string& timeout = "5000ms") {
     const json limits{{"MaxHeaderBytes", 16384},
                       {"MaxBodyBytes", 1000000},
                       {"HeaderTimeout", "3000ms"},
                       {"IdleTimeout", "15000ms"}};
     const json route{{"Hostname", "a.example"}, {"Prefix", "/x/"},           {"RouteType", kind},
-                     {"Timeout", "5000ms"},     {"TargetLatency", "1000ms"}, {"Service", service},
+                     {"Timeout", timeout},      {"TargetLatency", "1000ms"}, {"Service", service},
                      {"MaxAttempts", 2}};
     const json resources =
         json::array({{{"ResourceType", "Routes"}, {"Metadata", {{"Name", "r"}}}, {"Spec", route}},
@@ -79,7 +80,7 @@
             callers.push_back(
                 std::string{find_header(request.headers, platform_wire::caller_service_header)});
             response.headers.push_back({std::string{platform_wire::request_id_header}, id});
-            response.body = "served by " + endpoint_id;
+            response.body = "served by " + endpoint_id + std::string(padding, ' ');
         }
         call->respond(std::move(response));
     }
@@ -107,8 +108,9 @@
         }
     }
 
-    bool holding = false;  ///< requests are kept open until `release`
-    bool refusing = false; ///< requests are refused as not executed
+    std::size_t padding = 0; ///< bytes added to the bodies of responses
+    bool holding = false;    ///< requests are kept open until `release`
+    bool refusing = false;   ///< requests are refused as not executed
     std::vector<std::shared_ptr<exchange>> held;
     std::string endpoint_id;
     std::string endpoint_address;
