Take a retry from the budget only when an endpoint can be asked

A request on a suspect link took a retry each 300 ms although all other endpoints had just refused its like, and went on beyond the limit of refusals of one request (found in review by reading; not reproduced). The endpoints that would refuse are removed first, the limit holds, and the condition is tested again for each request, since an earlier one of the round may have changed it. Names and texts say suspect for a link whose ping has no answer, retired for one that takes no more calls.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -444,7 +444,7 @@
     memory,
     stopping,    ///< the daemon is shutting down
     retired,     ///< the endpoint runs a version that has been replaced
-    peer_silent, ///< the link to the other daemon went silent; the attempt was replaced by another
+    peer_silent, ///< the other daemon did not answer a ping; another endpoint was asked as well
 };
 inline constexpr reason last_reason = reason::peer_silent;
 [[nodiscard]] std::string_view to_string(reason value);
--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -39,7 +39,8 @@
         {"bad_response", "the endpoint sent bytes that are no response to this request; it may have run"},
         {"timed_out", "the time of the route or of the caller was over while the endpoint worked"},
         {"peer_lost", "the link to the other daemon ended before its reply; the request may have run"},
-        {"peer_silent", "the link to the other daemon had gone silent; the request may have run there"},
+        {"peer_silent", "the other daemon did not answer a ping, so the request was also sent elsewhere; it "
+                        "may run at both"},
         {"caller_left", "the caller closed its connection"},
         {"bad_request", "the request has no id"},
         {"memory", "the bodies that the daemon held took all the memory meant for them"},
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -118,9 +118,8 @@
     call_target* target = nullptr;
     std::shared_ptr<peer_link> link; ///< keeps `target` alive; null for this daemon's own endpoint
     std::uint64_t id = 0;
-    time_point next_replacement{}; ///< when another endpoint may be tried if the link is silent
 
-    [[nodiscard]] bool is_silent(time_point now) const { return link && link->is_suspect(now); }
+    [[nodiscard]] bool is_suspect(time_point now) const { return link && link->is_suspect(now); }
 };
 
 /// A request between its arrival and its response.
@@ -142,7 +141,8 @@
     std::uint32_t skipped_full = 0; ///< endpoints skipped because they recently rejected a similar request
     duration retry_after{0};        ///< minimum over the refusals
     mesh::reason last_refusal = mesh::reason::no_endpoint;
-    std::vector<open_call> calls; ///< more than one while an attempt on a silent link is being replaced
+    std::vector<open_call> calls;  ///< more than one when the link of an attempt became suspect
+    time_point next_replacement{}; ///< when another endpoint may be asked next while all links are suspect
     std::optional<reply_message> failed_answer; ///< the endpoint's error response, if no retry succeeds
 
     void record_refusal(mesh::reason why, duration wait) {
@@ -154,10 +154,10 @@
     }
     /// Attempts that count against the route's maximum.
     [[nodiscard]] std::size_t attempts_used() const { return sent + calls.size(); }
-    /// True when an attempt is open on a link that is not silent.
+    /// True when an attempt is open on a link that is not suspect.
     [[nodiscard]] bool has_responsive_call(time_point now) const {
         return std::any_of(calls.begin(), calls.end(),
-                           [&](const open_call& call) { return !call.is_silent(now); });
+                           [&](const open_call& call) { return !call.is_suspect(now); });
     }
 };
 
@@ -455,7 +455,7 @@
 
 void forwarder::answer_without_endpoint(const std::shared_ptr<active_request>& item, duration retry_after) {
     if (!item->calls.empty()) {
-        return; // an attempt on a silent link may still answer
+        return; // an attempt on a suspect link may still answer
     }
     if (item->failed_answer) {
         deliver(item, std::move(*item->failed_answer));
@@ -545,33 +545,41 @@
     }
 }
 
-void forwarder::replace_silent_attempts(time_point now) {
+bool forwarder::needs_replacement(const active_request& item, time_point now) const {
+    return !item.calls.empty() && item.route->kind == mesh::request_kind::safe &&
+           !item.has_responsive_call(now) && now >= item.next_replacement && item.refusals < max_refusals;
+}
+
+void forwarder::replace_suspect_attempts(time_point now) {
     std::vector<std::shared_ptr<active_request>> waiting;
     for (const auto& item : open_) {
-        const bool repeatable = !item->calls.empty() && item->route->kind == mesh::request_kind::safe;
-        if (repeatable && !item->has_responsive_call(now) && now >= item->calls.back().next_replacement) {
+        if (needs_replacement(*item, now)) {
             waiting.push_back(item);
         }
     }
     for (const auto& item : waiting) {
-        const auto options = options_for(*item);
+        // An earlier iteration may have ended this request or replaced its attempt.
+        if (!needs_replacement(*item, now)) {
+            continue;
+        }
+        item->next_replacement = now + default_retry_after;
+        auto options = options_for(*item);
+        remove_full(options, *item, now);
         const bool other_available =
             std::any_of(options.begin(), options.end(),
                         [](const endpoint_option& entry) { return entry.facts.failures < suspect_failures; });
         if (!other_available || !take_retry(*item)) {
             continue;
         }
-        // The silent attempt stays open: it may be running, and the others may all refuse the request.
-        auto& silent = item->calls.back();
-        item->attempts[silent.attempt].why = mesh::reason::peer_silent;
-        silent.next_replacement = now + default_retry_after;
+        // The first attempt stays open: it may be running, and the others may all refuse the request.
+        item->attempts[item->calls.back().attempt].why = mesh::reason::peer_silent;
         counters_.add("retry_peer_silent");
         attempt(item);
     }
 }
 
 void forwarder::tick(time_point now) {
-    replace_silent_attempts(now);
+    replace_suspect_attempts(now);
     std::vector<std::shared_ptr<active_request>> expired;
     for (const auto& item : open_) {
         if (item->route != nullptr && item->deadline <= now) {
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -48,9 +48,10 @@
     void answer_without_endpoint(const std::shared_ptr<active_request>& item, duration retry_after);
     void answer(const std::shared_ptr<active_request>& item, http_message response);
     void cancel_calls(active_request& item);
-    /// Also sends safe requests whose attempts are all on silent links to another endpoint, if one is
+    /// Also sends safe requests whose attempts are all on suspect links to another endpoint, if one is
     /// available. The first response is delivered.
-    void replace_silent_attempts(time_point now);
+    void replace_suspect_attempts(time_point now);
+    [[nodiscard]] bool needs_replacement(const active_request& item, time_point now) const;
     /// Removes an ended request and its body from the accounting.
     void release(const std::shared_ptr<active_request>& item);
     /// Maximum bytes of request bodies held at the same time.
