Apply the header limit to all fields of a message together

What peers would see: an endpoint or a caller that sends header fields without end, with each read ending within three bytes after the start of a field, was read until memory ran out. Cause: the parser of Beast 1.74 takes each complete field out of its input and applies its limit only to what is left. Only when more than three bytes are left does it wait for the end of the header, and then the limit holds. Change: the reader counts the bytes of the header over all calls. Test: "header fields without end are rejected" failed before (need_more after 64 KB with a limit of 4 KB).

--- a/src/sidecar/http_message.cpp
+++ b/src/sidecar/http_message.cpp
@@ -117,6 +117,13 @@
         return read_status::complete;
     }
     if (!code || code == http::error::need_more) {
+        if (!this->is_header_done()) {
+            // Beast applies its limit to the fields of each call, not to their sum.
+            header_bytes_ += offset;
+            if (header_bytes_ + input.size() > max_header_bytes_) {
+                return read_status::header_too_large;
+            }
+        }
         return read_status::need_more;
     }
     if (code == http::error::header_limit) {
--- a/tests/sidecar/endless_bytes_test.cpp
+++ b/tests/sidecar/endless_bytes_test.cpp
@@ -51,6 +51,14 @@
     CHECK(read_without_end<request_reader>({}, "\r\n") == read_status::malformed);
 }
 
+// Guards against header fields that each arrive whole being accepted without end.
+TEST_CASE("header fields without end are rejected") {
+    for (const std::string piece : {"X: y\r\n", "X: y\r\nX: ", "X: y\r\nX: y\r\nX: y\r\n"}) {
+        CHECK(read_without_end<response_reader>(response_head, piece) == read_status::header_too_large);
+        CHECK(read_without_end<request_reader>(request_head, piece) == read_status::header_too_large);
+    }
+}
+
 // Holds already: Beast applies the body limit to all three framings.
 TEST_CASE("a body beyond the limit is rejected") {
     const std::string too_long = "Content-Length: 18446744073709551615\r\n\r\n";
