Apply the header limit to chunk headers and trailers

What peers would see: a chunk header, a chunk extension or trailers that go on without end were read until memory ran out, from endpoints, the store and callers. Cause: the parser of Beast 1.74 leaves chunk header and trailers in its input until they are complete, without a limit. Change: what is left in the input may be as long as a header. Test: "a chunk header without end is rejected" and "trailers without end are rejected" failed before (need_more after 64 KB with a limit of 4 KB).

--- a/src/sidecar/http_message.cpp
+++ b/src/sidecar/http_message.cpp
@@ -117,12 +117,14 @@
         return read_status::complete;
     }
     if (!code || code == http::error::need_more) {
+        // Beast applies its limit to the fields of each call, not to their sum, and has none for chunk
+        // headers and trailers, which it leaves in the input until they are complete.
         if (!this->is_header_done()) {
-            // Beast applies its limit to the fields of each call, not to their sum.
             header_bytes_ += offset;
-            if (header_bytes_ + input.size() > max_header_bytes_) {
-                return read_status::header_too_large;
-            }
+        }
+        const auto used = this->is_header_done() ? 0 : header_bytes_;
+        if (used + input.size() > max_header_bytes_) {
+            return read_status::header_too_large;
         }
         return read_status::need_more;
     }
--- a/tests/sidecar/endless_bytes_test.cpp
+++ b/tests/sidecar/endless_bytes_test.cpp
@@ -59,6 +59,26 @@
     }
 }
 
+// Guards against a chunk header being collected without end.
+TEST_CASE("a chunk header without end is rejected") {
+    for (const std::string opening : {"0", "5;", "5;a=", "1\r\na\r\n5;", "0;"}) {
+        CHECK(read_without_end<response_reader>(response_head + chunked + opening, "0") ==
+              read_status::header_too_large);
+        CHECK(read_without_end<request_reader>(request_head + chunked + opening, "0") ==
+              read_status::header_too_large);
+    }
+}
+
+// Guards against trailers being collected without end.
+TEST_CASE("trailers without end are rejected") {
+    for (const std::string piece : {"X: y\r\n", "X: y\r\nX: "}) {
+        CHECK(read_without_end<response_reader>(response_head + chunked + "0\r\n", piece) ==
+              read_status::header_too_large);
+        CHECK(read_without_end<request_reader>(request_head + chunked + "0\r\n", piece) ==
+              read_status::header_too_large);
+    }
+}
+
 // Holds already: Beast applies the body limit to all three framings.
 TEST_CASE("a body beyond the limit is rejected") {
     const std::string too_long = "Content-Length: 18446744073709551615\r\n\r\n";
