Limit the responses that may precede the expected one

What callers would see: an endpoint that sends interim responses, or duplicates of an earlier response, without end kept the daemon reading and parsing until the request's deadline. Cause: each was skipped as the one before the expected response, without a count. Change: after 16 of them the response is bad_response, outcome unknown, and the connection is closed. Test: "interim responses without end are rejected" and "duplicates of an earlier response without end are rejected" failed before (no result).

--- a/src/sidecar/endpoint_client.cpp
+++ b/src/sidecar/endpoint_client.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint64_t max_response_bytes = 64UL * 1024 * 1024;
 /// Number of recent request ids kept per connection to recognize a late duplicate response.
 constexpr std::size_t max_earlier_ids = 4;
+/// Number of interim responses and duplicates of earlier responses that may precede a response.
+constexpr std::size_t max_skipped_responses = 16;
 
 } // namespace
 
@@ -37,6 +39,7 @@
     std::shared_ptr<active_request> current;
     std::size_t buffered_bytes = 0; ///< of the response being received
     std::deque<std::string> earlier_ids;
+    std::size_t skipped_responses = 0; ///< before the current one
     time_point last_used;
     duration idle_timeout = max_idle_time;
     bool tainted = false; ///< received bytes that belong to no request; not reused
@@ -94,6 +97,7 @@
     item->conn = conn;
     conn->current = item;
     conn->reader.reset();
+    conn->skipped_responses = 0;
     conn->transport->send(serialize_request_head(item->request));
     conn->transport->send(std::move(item->request.body));
 }
@@ -133,15 +137,17 @@
     auto response = std::move(conn->reader->message());
     conn->reader.reset();
     set_buffered(*conn, 0);
-    if (response.status < 200) {
-        return true; // an interim response
+    const bool may_skip = conn->skipped_responses++ < max_skipped_responses;
+    const bool is_interim = response.status < 200;
+    if (is_interim && may_skip) {
+        return true;
     }
     const auto echoed = find_header(response.headers, platform_wire::request_id_header);
-    if (echoed != conn->current->request_id) {
+    if (is_interim || echoed != conn->current->request_id) {
         const bool is_earlier =
             std::find(conn->earlier_ids.begin(), conn->earlier_ids.end(), echoed) != conn->earlier_ids.end();
         conn->tainted = true;
-        if (is_earlier && response.keep_alive) {
+        if (is_earlier && response.keep_alive && may_skip) {
             return true; // a duplicate response to an earlier request; the expected one follows
         }
         complete(conn, {mesh::attempt_outcome::unknown, mesh::reason::bad_response, {}});
--- a/tests/sidecar/endless_bytes_test.cpp
+++ b/tests/sidecar/endless_bytes_test.cpp
@@ -38,6 +38,14 @@
 /// Bytes that the kernel may hold for both ends of a connection on the loopback interface.
 constexpr std::size_t socket_buffer_bytes = 16 * mib;
 
+std::string repeat(const std::string& text, int count) {
+    std::string result;
+    for (int done = 0; done < count; ++done) {
+        result += text;
+    }
+    return result;
+}
+
 /// A client of an endpoint. Responses may take `max_buffered_bytes`.
 struct client_fixture {
     client_fixture(boost::asio::io_context& event_loop, const std::string& address)
@@ -124,6 +132,30 @@
           read_status::body_too_large);
 }
 
+// Guards against responses that are not the expected one being read without end.
+TEST_CASE("interim responses without end are rejected") {
+    boost::asio::io_context loop;
+    const std::string id_field = GENERATE(as<std::string>{}, "", "X-Request-Id: 1\r\n");
+    const endless_server server{loop, {}, repeat("HTTP/1.1 103 Early Hints\r\n" + id_field + "\r\n", 1000)};
+    client_fixture f{loop, server.address()};
+    CHECK(f.run("1").why == mesh::reason::bad_response);
+    CHECK(run_until(loop, [&] { return server.closed() == 1; }));
+}
+
+TEST_CASE("duplicates of an earlier response without end are rejected") {
+    boost::asio::io_context loop;
+    int number = 0;
+    scripted_server server{loop, [&](const std::shared_ptr<stream>& connection, std::string&) {
+                               connection->send(
+                                   repeat(response_head + "X-Request-Id: 1\r\nContent-Length: 3\r\n\r\none",
+                                          ++number == 1 ? 1 : 1000));
+                           }};
+    client_fixture f{loop, server.address()};
+    CHECK(f.run("1").response.body == "one");
+    CHECK(f.run("2").why == mesh::reason::bad_response);
+    CHECK(run_until(loop, [&] { return server.ended() == 1; }));
+}
+
 // Guards against response bodies taking more memory than the VM has.
 TEST_CASE("a response body without end is rejected at the memory limit") {
     const std::string block(64UL * 1024, 'a');
