End a health check after 3 s or 64 KiB

What callers would see: an endpoint that sends nothing, or bytes without end, when its health is asked stayed unknown to its daemon until its next heartbeat, and the body was read up to the limit of a response. Cause: a health check had no deadline, and no second one is sent while one is open. Change: it is cancelled 3 s after it was sent (runtime's clock), which closes its connection; its body may have 64 KiB. Test: "a health check without a response is ended and repeated" (silent and endless) and "a health check with a large body is ended" failed before (no second check; 64 MB sent). "a response without end is ended at the deadline of its request" holds already.

--- a/src/sidecar/endpoint_client.cpp
+++ b/src/sidecar/endpoint_client.cpp
@@ -15,7 +15,6 @@
 constexpr duration max_idle_time = std::chrono::seconds{4};
 /// Fraction of the idle timeout announced by the endpoint for which a connection is reused.
 constexpr double announced_idle_fraction = 0.6;
-constexpr std::uint64_t max_response_bytes = 64UL * 1024 * 1024;
 /// Number of recent request ids kept per connection to recognize a late duplicate response.
 constexpr std::size_t max_earlier_ids = 4;
 /// Number of interim responses and duplicates of earlier responses that may precede a response.
@@ -28,6 +27,7 @@
     http_message request;
     std::string request_id;
     endpoint_result_handler done;
+    std::uint64_t max_body_bytes = 0;
     std::shared_ptr<connection> conn;
     bool cancelled = false;
 };
@@ -50,12 +50,13 @@
     : loop_{loop}, clock_{clock}, address_{to_endpoint(address)}, max_buffered_bytes_{max_buffered_bytes} {}
 
 std::uint64_t endpoint_client::send(http_message request, std::string request_id,
-                                    endpoint_result_handler done) {
+                                    endpoint_result_handler done, std::uint64_t max_body_bytes) {
     auto item = std::make_shared<active_request>();
     item->id = next_id_++;
     item->request = std::move(request);
     item->request_id = std::move(request_id);
     item->done = std::move(done);
+    item->max_body_bytes = std::min<std::uint64_t>(max_body_bytes, max_buffered_bytes_);
     requests_[item->id] = item;
     const auto now = clock_.now();
     while (!idle_.empty()) {
@@ -112,9 +113,8 @@
     conn->input.append(bytes);
     while (conn->current != nullptr && !conn->input.empty()) {
         if (!conn->reader) {
-            const auto max_body_bytes = std::min<std::uint64_t>(max_response_bytes, max_buffered_bytes_);
-            conn->reader = std::make_unique<response_reader>(read_limits{.body_bytes = max_body_bytes},
-                                                             conn->current->request.method == "HEAD");
+            const read_limits limits{.body_bytes = conn->current->max_body_bytes};
+            conn->reader = std::make_unique<response_reader>(limits, conn->current->request.method == "HEAD");
         }
         const auto status = conn->reader->feed(conn->input);
         if (status == read_status::need_more) {
--- a/src/sidecar/endpoint_client.h
+++ b/src/sidecar/endpoint_client.h
@@ -19,6 +19,9 @@
 };
 using endpoint_result_handler = std::function<void(endpoint_result)>;
 
+/// Maximum body size of a response, which has to fit into a frame to another daemon.
+inline constexpr std::uint64_t max_response_bytes = 64UL * 1024 * 1024;
+
 /// Not thread safe.
 class endpoint_client {
 public:
@@ -27,8 +30,9 @@
     endpoint_client(boost::asio::io_context& loop, const clock_source& clock, std::string_view address,
                     std::size_t max_buffered_bytes);
     /// Sends a request and calls `done` exactly once unless `cancel` is called first. Returns an id for
-    /// `cancel`.
-    std::uint64_t send(http_message request, std::string request_id, endpoint_result_handler done);
+    /// `cancel`. A response with a body of more than `max_body_bytes` is ended with `bad_response`.
+    std::uint64_t send(http_message request, std::string request_id, endpoint_result_handler done,
+                       std::uint64_t max_body_bytes = max_response_bytes);
     /// Cancels a request by closing its connection, which makes the endpoint stop processing it.
     void cancel(std::uint64_t id);
     /// Closes all idle connections. Call when the endpoint has been replaced.
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -16,6 +16,10 @@
 /// heartbeat.
 constexpr std::uint32_t connect_failures_until_absent = 2;
 constexpr std::size_t bytes_per_mb = 1024UL * 1024;
+/// Timeout of a health check, which may wait for a slot of the endpoint.
+constexpr duration probe_timeout = std::chrono::seconds{3};
+/// Maximum body size of the response to a health check, which is not used.
+constexpr std::uint64_t max_probe_body_bytes = 64UL * 1024;
 /// Responses being received may take the process's memory divided by this: a growing buffer takes up to three
 /// times its content, and a complete response is copied into its frame.
 constexpr std::size_t response_memory_divisor = 8;
@@ -231,6 +235,10 @@
 }
 
 void endpoint_service::tick(time_point now) {
+    if (probe_ && probe_->deadline <= now) {
+        client_.cancel(probe_->client_id);
+        probe_.reset();
+    }
     std::vector<std::shared_ptr<job>> expired;
     for (const auto& [id, item] : jobs_) {
         if (item->deadline <= now) {
@@ -290,17 +298,16 @@
 }
 
 void endpoint_service::probe(const std::string& health_path) {
-    if (probing_ || tracker_.current().state != mesh::endpoint_state::absent || health_path.empty()) {
+    if (probe_ || tracker_.current().state != mesh::endpoint_state::absent || health_path.empty()) {
         return;
     }
-    probing_ = true;
     http_message request;
     request.method = "GET";
     request.target = health_path;
     request.headers.push_back(
         {"Host", to_string(parse_address(tracker_.current().address).value_or(socket_address{}))});
-    client_.send(std::move(request), {}, [this](endpoint_result result) {
-        probing_ = false;
+    const auto on_response = [this](const endpoint_result& result) {
+        probe_.reset();
         if (result.outcome != mesh::attempt_outcome::answered) {
             return;
         }
@@ -310,7 +317,9 @@
         log(event::endpoint_probed, {{"endpoint", id}, {"status", result.response.status}});
         const auto slots = parse_slots(find_header(result.response.headers, platform_wire::load_header));
         update([&](mesh::endpoint_tracker& tracker) { tracker.on_health(id, healthy, slots.value_or(1)); });
-    });
+    };
+    const auto id = client_.send(std::move(request), {}, on_response, max_probe_body_bytes);
+    probe_ = health_check{id, clock_.now() + probe_timeout};
 }
 
 void endpoint_service::sweep(time_point now) {
--- a/src/sidecar/endpoint_service.h
+++ b/src/sidecar/endpoint_service.h
@@ -64,7 +64,11 @@
     std::map<std::uint64_t, std::shared_ptr<job>> jobs_;
     std::vector<mesh::version_evidence> evidence_;
     std::uint32_t connect_failures_ = 0;
-    bool probing_ = false;
+    struct health_check {
+        std::uint64_t client_id = 0;
+        time_point deadline;
+    };
+    std::optional<health_check> probe_; ///< set while the endpoint is being queried
     std::optional<time_point> stop_deadline_;
     bool retired_ = false;
 };
--- a/tests/sidecar/endless_bytes_test.cpp
+++ b/tests/sidecar/endless_bytes_test.cpp
@@ -37,6 +37,8 @@
 constexpr std::size_t mib = 1024UL * 1024;
 /// Bytes that the kernel may hold for both ends of a connection on the loopback interface.
 constexpr std::size_t socket_buffer_bytes = 16 * mib;
+/// A chunk of one byte, most of which is its header.
+const std::string sparse_chunk = "1;" + std::string(1000, 'a') + "\r\nb\r\n";
 
 std::string repeat(const std::string& text, int count) {
     std::string result;
@@ -71,6 +73,25 @@
     endpoint_client client;
 };
 
+/// A daemon's endpoint, whose identity is not known yet.
+struct service_fixture {
+    service_fixture(boost::asio::io_context& loop, const std::string& address)
+        : settings{make_settings(address)}, service{loop, clock, counters, settings} {}
+
+    static sidecar_settings make_settings(const std::string& address) {
+        sidecar_settings result;
+        result.service = "s";
+        result.endpoint_address = address;
+        result.memory_mb = 512;
+        return result;
+    }
+
+    manual_clock clock;
+    counter_set counters;
+    sidecar_settings settings;
+    endpoint_service service;
+};
+
 } // namespace
 
 // Holds already: Beast rejects a start line or a field that exceeds the header limit.
@@ -132,6 +153,57 @@
           read_status::body_too_large);
 }
 
+// Holds already, for all parts of a response that no limit of bytes ends.
+TEST_CASE("a response without end is ended at the deadline of its request") {
+    boost::asio::io_context loop;
+    const endless_server server{loop, response_head + chunked, sparse_chunk};
+    service_fixture f{loop, server.address()};
+    f.service.update([&](mesh::endpoint_tracker& tracker) { tracker.on_health("i-1", true, 4); });
+    call_message call;
+    call.service = f.settings.service;
+    call.endpoint_id = "i-1";
+    call.request_id = "1";
+    call.method = "GET";
+    call.target = "/x";
+    call.remaining = 1000ms;
+    call.latency_target = 1000ms;
+    std::optional<reply_message> reply;
+    f.service.execute(std::move(call), [&](reply_message value) { reply = std::move(value); });
+    REQUIRE(run_until(loop, [&] { return server.sent() > mib; }));
+    f.clock.advance(1000ms);
+    f.service.tick(f.clock.now());
+    REQUIRE(reply.has_value());
+    CHECK(reply->why == mesh::reason::timed_out);
+    CHECK(run_until(loop, [&] { return server.closed() == 1; }));
+}
+
+// Guards against a health check without a response blocking all later ones.
+TEST_CASE("a health check without a response is ended and repeated") {
+    const bool silent = GENERATE(true, false);
+    boost::asio::io_context loop;
+    const endless_server server{loop, silent ? "" : response_head + chunked, silent ? "" : sparse_chunk};
+    service_fixture f{loop, server.address()};
+    f.service.probe("/health");
+    REQUIRE(run_until(loop, [&] { return server.accepted() == 1 && (silent || server.sent() > 4096); }));
+    f.clock.advance(3s);
+    f.service.tick(f.clock.now());
+    f.service.probe("/health");
+    CHECK(run_until(loop, [&] { return server.accepted() == 2; }));
+    CHECK(run_until(loop, [&] { return server.closed() == 1; }));
+}
+
+// Guards against the body of a health check taking as much memory as a response.
+TEST_CASE("a health check with a large body is ended") {
+    boost::asio::io_context loop;
+    const endless_server server{loop, response_head + "\r\n", std::string(4096, 'a')};
+    service_fixture f{loop, server.address()};
+    f.service.probe("/health");
+    REQUIRE(run_until(loop, [&] { return server.closed() == 1; }));
+    CHECK(server.sent() < socket_buffer_bytes);
+    f.service.probe("/health");
+    CHECK(run_until(loop, [&] { return server.accepted() == 2; }));
+}
+
 // Guards against responses that are not the expected one being read without end.
 TEST_CASE("interim responses without end are rejected") {
     boost::asio::io_context loop;
--- a/tests/sidecar/endless_server.h
+++ b/tests/sidecar/endless_server.h
@@ -3,12 +3,13 @@
 
 #include "sidecar/loopback.h"
 
+#include <array>
 #include <utility>
 
 namespace endive::sidecar::test {
 
 /// Waits for the first bytes of each connection, then sends `opening` and after it `block` until the other
-/// side closes the connection. Must not outlive the loop.
+/// side closes the connection. When both are empty it stays silent. Must not outlive the loop.
 class endless_server {
 public:
     endless_server(boost::asio::io_context& loop, std::string opening, std::string block)
@@ -42,6 +43,10 @@
     }
 
     void send(const std::shared_ptr<tcp::socket>& connection, const std::string& bytes) {
+        if (bytes.empty()) {
+            read_to_end(connection);
+            return;
+        }
         boost::asio::async_write(*connection, boost::asio::buffer(bytes),
                                  [this, connection](error_code code, std::size_t size) {
                                      sent_ += size;
@@ -53,7 +58,19 @@
                                  });
     }
 
+    void read_to_end(const std::shared_ptr<tcp::socket>& connection) {
+        connection->async_read_some(boost::asio::buffer(ignored_),
+                                    [this, connection](error_code code, std::size_t) {
+                                        if (code) {
+                                            ++closed_;
+                                            return;
+                                        }
+                                        read_to_end(connection);
+                                    });
+    }
+
     tcp::acceptor acceptor_;
+    std::array<char, 4096> ignored_{};
     std::string opening_;
     std::string block_;
     std::size_t sent_ = 0;
