Tell in the log how a row came and why the store counts as lost

A late configuration could not be traced: no line said when a daemon learned of a newer row, which peer it asked, or how long the answer took, and store_lost did not say which call failed or how.

row_announced, row_requested and row_received cover one exchange with a peer, one line each for a version of a row; store_lost carries table, call, status, waiting time and received bytes. missing_rows reports the time that a row has been missing, so its tests now also check this time.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -214,16 +214,21 @@
     struct request {
         store_row head;     ///< the missing row, without its value
         std::string daemon; ///< the peer to request it from
+        duration waited{0}; ///< since the replica first lacked a version of the row
         friend auto operator<=>(const request&, const request&) = default;
     };
     /// `daemon` holds the row `head`; ignored unless it is newer than the one in `rows`. Of daemons with the
-    /// same version, one in the same failure domain is preferred.
-    void on_head(const store_row& head, const std::string& daemon, bool same_domain, const row_replica& rows,
+    /// same version, one in the same failure domain is preferred. True when no daemon has reported this
+    /// version or a newer one before.
+    bool on_head(const store_row& head, const std::string& daemon, bool same_domain, const row_replica& rows,
                  time_point now);
     /// Returns the requests to send now. A row is requested once `store_timeout` has passed without the store
     /// delivering any newer version of it.
     [[nodiscard]] std::vector<request> take_due(time_point now, duration store_timeout,
                                                 const row_replica& rows);
+    /// Time since `row` was requested from `daemon`, or nothing when it was not.
+    [[nodiscard]] std::optional<duration> elapsed(const store_row& row, const std::string& daemon,
+                                                  time_point now) const;
 
 private:
     struct missing {
@@ -233,6 +238,8 @@
         std::uint64_t known_version = 0; ///< version in the replica at the last check
         time_point since;                ///< first head, last delivery by the store, or request
         bool requested = false;
+        time_point announced;     ///< first head
+        std::string asked_daemon; ///< receiver of the request
     };
     std::map<std::pair<std::string, std::string>, missing> rows_;
 };
--- a/src/mesh/membership.cpp
+++ b/src/mesh/membership.cpp
@@ -192,21 +192,23 @@
     return result;
 }
 
-void missing_rows::on_head(const store_row& head, const std::string& daemon, bool same_domain,
+bool missing_rows::on_head(const store_row& head, const std::string& daemon, bool same_domain,
                            const row_replica& rows, time_point now) {
     const auto known = version_in(rows, head);
     if (known >= head.version) {
-        return;
+        return false;
     }
-    auto& entry =
-        rows_.try_emplace({head.table, head.key}, missing{head, daemon, same_domain, known, now, false})
-            .first->second;
+    const auto [found, is_new] = rows_.try_emplace(
+        {head.table, head.key}, missing{head, daemon, same_domain, known, now, false, now, {}});
+    auto& entry = found->second;
+    const bool is_newer = is_new || head.version > entry.head.version;
     const bool closer = head.version == entry.head.version && same_domain && !entry.same_domain;
     if (head.version > entry.head.version || closer) {
         entry.head = head;
         entry.daemon = daemon;
         entry.same_domain = same_domain;
     }
+    return is_newer;
 }
 
 std::vector<missing_rows::request> missing_rows::take_due(time_point now, duration store_timeout,
@@ -225,8 +227,9 @@
             entry.since = now;
         }
         if (!entry.requested && now - entry.since >= store_timeout) {
-            result.push_back({entry.head, entry.daemon});
+            result.push_back({entry.head, entry.daemon, now - entry.announced});
             entry.requested = true;
+            entry.asked_daemon = entry.daemon;
             entry.since = now;
         }
         ++item;
@@ -234,4 +237,13 @@
     return result;
 }
 
+std::optional<duration> missing_rows::elapsed(const store_row& row, const std::string& daemon,
+                                              time_point now) const {
+    const auto found = rows_.find({row.table, row.key});
+    if (found == rows_.end() || !found->second.requested || found->second.asked_daemon != daemon) {
+        return std::nullopt;
+    }
+    return now - found->second.since;
+}
+
 } // namespace endive::mesh
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -199,7 +199,7 @@
         on_load(link, *message.load);
     }
     for (const auto& row : message.rows) {
-        callbacks_.row(row);
+        on_row(link->daemon(), row);
     }
     record_missing(link->daemon(), message.heads);
     if (!message.counters.empty() && entry != nullptr) {
@@ -210,11 +210,31 @@
     }
 }
 
+void peer_set::on_row(const std::string& daemon, const mesh::store_row& row) {
+    if (const auto elapsed = missing_.elapsed(row, daemon, clock_.now())) {
+        log(event::row_received,
+            {{"table", row.table},
+             {"key", row.key},
+             {"version", row.version},
+             {"peer", daemon},
+             {"bytes", row.value.size()},
+             {"elapsed_ms", std::chrono::duration_cast<milliseconds>(*elapsed).count()}});
+    }
+    callbacks_.row(row);
+}
+
 void peer_set::record_missing(const std::string& daemon, const std::vector<mesh::store_row>& heads) {
     const auto* entry = find(daemon);
     const bool is_near = entry != nullptr && entry->about.failure_domain == self_.failure_domain;
     for (const auto& head : heads) {
-        missing_.on_head(head, daemon, is_near, rows_, clock_.now());
+        if (missing_.on_head(head, daemon, is_near, rows_, clock_.now())) {
+            const auto* known = rows_.find(head.table, head.key);
+            log(event::row_announced, {{"table", head.table},
+                                       {"key", head.key},
+                                       {"version", head.version},
+                                       {"known", known == nullptr ? 0 : known->version},
+                                       {"peer", daemon}});
+        }
     }
 }
 
@@ -301,6 +321,12 @@
     for (const auto& request : missing_.take_due(now, callbacks_.fetch_delay(), rows_)) {
         const auto* entry = find(request.daemon);
         if (entry != nullptr && entry->link) {
+            log(event::row_requested,
+                {{"table", request.head.table},
+                 {"key", request.head.key},
+                 {"version", request.head.version},
+                 {"peer", request.daemon},
+                 {"waited_ms", std::chrono::duration_cast<milliseconds>(request.waited).count()}});
             entry->link->send(fetch_message{{request.head}});
         }
     }
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -80,6 +80,7 @@
     void replace_link(const std::shared_ptr<peer_link>& link);
     enum class audience : std::uint8_t { all, own_domain };
     void broadcast(const peer_message& message, audience to = audience::all);
+    void on_row(const std::string& daemon, const mesh::store_row& row);
     void record_missing(const std::string& daemon, const std::vector<mesh::store_row>& heads);
     void fetch_missing(time_point now);
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -75,20 +75,22 @@
                  [this](const std::shared_ptr<exchange>& request) { on_readiness_call(request); }},
       announcements_{loop, clock, settings_.announcements_address,
                      [this](const std::shared_ptr<exchange>& request) { on_announcement(request); }},
-      operator_rows_{loop, settings_.store_address, std::string{platform_wire::operator_table},
+      operator_rows_{loop,
+                     clock,
+                     settings_.store_address,
+                     std::string{platform_wire::operator_table},
                      [this](const std::vector<mesh::store_row>& rows) {
                          for (const auto& row : rows) {
                              on_row(row);
                          }
                      },
                      [this](bool healthy) {
-                         log(healthy ? event::store_regained : event::store_lost);
                          store_available_ = healthy;
                          if (healthy) {
                              next_self_write_ = time_point{};
                          }
                      }},
-      store_{loop, settings_.store_address}, timer_{loop} {
+      store_{loop, clock, settings_.store_address}, timer_{loop} {
     if (!settings_.metrics_address.empty()) {
         metrics_ = std::make_unique<http_server>(
             loop, clock, settings_.metrics_address,
--- a/src/sidecar/store_client.cpp
+++ b/src/sidecar/store_client.cpp
@@ -27,8 +27,9 @@
 
 } // namespace
 
-store_connection::store_connection(boost::asio::io_context& loop, std::string_view address)
-    : loop_{loop}, host_{address}, address_{to_endpoint(address)}, timer_{loop} {}
+store_connection::store_connection(boost::asio::io_context& loop, const clock_source& clock,
+                                   std::string_view address)
+    : loop_{loop}, clock_{clock}, host_{address}, address_{to_endpoint(address)}, timer_{loop} {}
 
 void store_connection::call(platform_wire::store_call call, duration timeout, store_callback done) {
     queue_.push_back({std::move(call), timeout, std::move(done)});
@@ -42,6 +43,8 @@
     current_ = std::move(queue_.front());
     queue_.pop_front();
     const auto generation = ++generation_;
+    started_ = clock_.now();
+    received_bytes_ = 0;
     timer_.expires_after(current_->timeout);
     timer_.async_wait([this, generation](error_code code) {
         if (!code && current_ && generation == generation_) {
@@ -99,6 +102,7 @@
         connection_->close(); // data without an outstanding call
         return;
     }
+    received_bytes_ += bytes.size();
     input_.append(bytes);
     if (!reader_) {
         reader_ = std::make_unique<response_reader>(read_limits{}, false);
@@ -112,12 +116,14 @@
         return;
     }
     auto response = std::move(reader_->message());
-    finish({response.status, std::move(response.body)}, response.keep_alive && input_.empty());
+    finish({response.status, std::move(response.body), {}, 0}, response.keep_alive && input_.empty());
 }
 
 void store_connection::finish(store_answer answer, bool reusable) {
     timer_.cancel();
     reader_.reset();
+    answer.waited = clock_.now() - started_;
+    answer.received_bytes = received_bytes_;
     auto done = std::move(current_->done);
     current_.reset();
     if (!reusable && connection_) {
@@ -134,24 +140,37 @@
     }
 }
 
-table_follower::table_follower(boost::asio::io_context& loop, std::string_view store, std::string table,
+table_follower::table_follower(boost::asio::io_context& loop, const clock_source& clock,
+                               std::string_view store, std::string table,
                                std::function<void(const std::vector<mesh::store_row>&)> on_rows,
                                std::function<void(bool)> on_health)
-    : connection_{loop, store}, pause_timer_{loop}, table_{std::move(table)}, on_rows_{std::move(on_rows)},
-      on_health_{std::move(on_health)} {}
-
-void table_follower::set_health(bool healthy) {
-    if (healthy_ != healthy) {
-        healthy_ = healthy;
-        on_health_(healthy);
+    : connection_{loop, clock, store}, pause_timer_{loop}, table_{std::move(table)},
+      on_rows_{std::move(on_rows)}, on_health_{std::move(on_health)} {}
+
+void table_follower::set_available() {
+    if (healthy_ != true) {
+        healthy_ = true;
+        log(event::store_regained, {{"table", table_}});
+        on_health_(true);
     }
-    if (healthy) {
-        retry_delay_ = duration{0};
+    retry_delay_ = duration{0};
+}
+
+void table_follower::set_lost(std::string_view call, const store_answer& answer) {
+    if (healthy_ != false) {
+        healthy_ = false;
+        log(event::store_lost,
+            {{"table", table_},
+             {"call", call},
+             {"status", answer.status},
+             {"waited_ms", std::chrono::duration_cast<milliseconds>(answer.waited).count()},
+             {"received_bytes", answer.received_bytes}});
+        on_health_(false);
     }
 }
 
-void table_follower::retry(std::function<void()> step) {
-    set_health(false);
+void table_follower::retry(std::string_view call, const store_answer& answer, std::function<void()> step) {
+    set_lost(call, answer);
     retry_delay_ = std::clamp(retry_delay_ * 2, min_retry_delay, max_retry_delay);
     schedule(retry_delay_, std::move(step));
 }
@@ -171,12 +190,12 @@
     connection_.call(platform_wire::read_rows(table_, from), read_timeout,
                      [this, from](const store_answer& answer) {
                          if (answer.status != status_ok) {
-                             retry([this, from] { read(from); });
+                             retry("read", answer, [this, from] { read(from); });
                              return;
                          }
                          try {
                              const auto page = platform_wire::decode_rows(answer.body);
-                             set_health(true);
+                             set_available();
                              // The watch starts at the version of the first page, so it repeats changes made
                              // since then.
                              if (!first_page_version_) {
@@ -192,7 +211,7 @@
                          } catch (const error& cause) {
                              log(event::store_answer_malformed,
                                  {{"table", table_}, {"place", cause.location()}, {"reason", cause.what()}});
-                             retry([this, from] { read(from); });
+                             retry("read", answer, [this, from] { read(from); });
                          }
                      });
 }
@@ -206,12 +225,12 @@
                              return;
                          }
                          if (answer.status != status_ok) {
-                             retry([this] { watch(); });
+                             retry("watch", answer, [this] { watch(); });
                              return;
                          }
                          try {
                              const auto page = platform_wire::decode_rows(answer.body);
-                             set_health(true);
+                             set_available();
                              version_ = std::max(version_, page.version);
                              if (page.rows.empty()) {
                                  watch();
@@ -222,7 +241,7 @@
                          } catch (const error& cause) {
                              log(event::store_answer_malformed,
                                  {{"table", table_}, {"place", cause.location()}, {"reason", cause.what()}});
-                             retry([this] { read({}); });
+                             retry("watch", answer, [this] { read({}); });
                          }
                      });
 }
--- a/src/sidecar/store_client.h
+++ b/src/sidecar/store_client.h
@@ -13,13 +13,15 @@
 struct store_answer {
     unsigned status = 0;
     std::string body;
+    duration waited{0};             ///< since the call was sent or its connection was opened
+    std::size_t received_bytes = 0; ///< of the response, which may be incomplete
 };
 using store_callback = std::function<void(store_answer)>;
 
 /// One connection to the store; calls are queued and sent one at a time. Not thread safe.
 class store_connection {
 public:
-    store_connection(boost::asio::io_context& loop, std::string_view address);
+    store_connection(boost::asio::io_context& loop, const clock_source& clock, std::string_view address);
     void call(platform_wire::store_call call, duration timeout, store_callback done);
     /// Aborts the current call; its callback gets status 0.
     void drop();
@@ -36,6 +38,7 @@
     void finish(store_answer answer, bool reusable);
 
     boost::asio::io_context& loop_;
+    const clock_source& clock_;
     std::string host_;
     tcp::endpoint address_;
     boost::asio::steady_timer timer_;
@@ -43,6 +46,8 @@
     std::string input_;
     std::unique_ptr<response_reader> reader_;
     std::optional<pending_call> current_;
+    time_point started_{};           ///< start of the current call
+    std::size_t received_bytes_ = 0; ///< of the response to the current call
     std::deque<pending_call> queue_;
     std::uint64_t generation_ = 0; ///< identifies the current call, so that late events are ignored
 };
@@ -52,8 +57,8 @@
 public:
     /// `on_rows` receives the initial rows and later changes; `on_health` is called each time the store
     /// becomes available or unavailable.
-    table_follower(boost::asio::io_context& loop, std::string_view store, std::string table,
-                   std::function<void(const std::vector<mesh::store_row>&)> on_rows,
+    table_follower(boost::asio::io_context& loop, const clock_source& clock, std::string_view store,
+                   std::string table, std::function<void(const std::vector<mesh::store_row>&)> on_rows,
                    std::function<void(bool)> on_health);
     void start() { read({}); }
     /// True while the next read or watch is delayed.
@@ -64,9 +69,10 @@
 private:
     void read(const std::string& from);
     void watch();
-    void retry(std::function<void()> step);
+    void retry(std::string_view call, const store_answer& answer, std::function<void()> step);
     void schedule(duration pause, std::function<void()> step);
-    void set_health(bool healthy);
+    void set_available();
+    void set_lost(std::string_view call, const store_answer& answer);
 
     store_connection connection_;
     boost::asio::steady_timer pause_timer_;
--- a/tests/mesh/membership_test.cpp
+++ b/tests/mesh/membership_test.cpp
@@ -129,7 +129,7 @@
     CHECK(missing.take_due(stalled_at, milliseconds{950}, rows).empty());
     missing.on_head(head_of(11), "far", false, rows, stalled_at + milliseconds{500});
     const auto requests = missing.take_due(stalled_at + milliseconds{960}, milliseconds{950}, rows);
-    CHECK(requests == std::vector<missing_rows::request>{{head_of(11), "far"}});
+    CHECK(requests == std::vector<missing_rows::request>{{head_of(11), "far", 7960ms}});
 }
 
 TEST_CASE("a row is requested from the nearer of two peers, and from another one after a timeout") {
@@ -138,7 +138,7 @@
     missing.on_head(head_of(3), "far", false, rows, start);
     missing.on_head(head_of(3), "near", true, rows, start);
     const auto requests = missing.take_due(start, duration{0}, rows);
-    CHECK(requests == std::vector<missing_rows::request>{{head_of(3), "near"}});
+    CHECK(requests == std::vector<missing_rows::request>{{head_of(3), "near", 0ms}});
     CHECK(missing.take_due(start + milliseconds{100}, duration{0}, rows).empty());
     CHECK(missing.take_due(start + milliseconds{600}, duration{0}, rows).empty());
     missing.on_head(head_of(3), "far", false, rows, start + milliseconds{700});
