Keep the store's watch open while its answer arrives, and replace only a silent one

When a row came from a peer, the daemon dropped the connection of its watch.

A watch is now replaced only when a peer's row is newer and nothing has arrived on the connection for two seconds. Replacing it is logged as store_watch_restarted and is no loss of the store: the watch is sent again at once and the store counts as available meanwhile. A row already known from a peer may still be sent once more by the store, as the feed's position must not pass other rows of the table.

Failed before: 'a row from a peer does not make the store count as lost' (store_lost 1, expected 0). The test of an arriving answer uses the new calls on_peer_row and tick and could not be built before.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -222,14 +222,9 @@
     }
 }
 
-/// When a peer holds an operator's change that the watch has not delivered, the watch connection is stale and
-/// is restarted.
 void sidecar::on_peer_row(const mesh::store_row& row) {
-    const auto* known = rows_.find(row.table, row.key);
-    const bool is_newer = known == nullptr || known->version < row.version;
-    if (is_newer && row.table == platform_wire::operator_table && store_available_ &&
-        !operator_rows_.is_pausing()) {
-        operator_rows_.restart();
+    if (row.table == platform_wire::operator_table) {
+        operator_rows_.on_peer_row(row.version);
     }
     on_row(row);
 }
@@ -445,6 +440,7 @@
 }
 
 void sidecar::slow_tick(time_point now) {
+    operator_rows_.tick();
     peers_.tick(now);
     callers_.sweep(now);
     readiness_.sweep(now);
--- a/src/sidecar/store_client.cpp
+++ b/src/sidecar/store_client.cpp
@@ -18,6 +18,9 @@
 /// Delay of the next watch after a change. Changes in quick succession are received with one call, and each
 /// is active well within the limit of two seconds.
 constexpr duration pause_after_change = milliseconds{700};
+/// A watch without received bytes for this long, although a peer holds a newer row, is stale. Replacing it
+/// sooner would make the store send an answer again that waits in a slow link's queue.
+constexpr duration stale_watch_timeout = milliseconds{2000};
 constexpr duration min_retry_delay = milliseconds{150};
 /// The end of an outage is not announced, and entries must be restored within two seconds after it.
 constexpr duration max_retry_delay = milliseconds{700};
@@ -44,6 +47,7 @@
     queue_.pop_front();
     const auto generation = ++generation_;
     started_ = clock_.now();
+    last_progress_ = started_;
     received_bytes_ = 0;
     timer_.expires_after(current_->timeout);
     timer_.async_wait([this, generation](error_code code) {
@@ -103,6 +107,7 @@
         return;
     }
     received_bytes_ += bytes.size();
+    last_progress_ = clock_.now();
     input_.append(bytes);
     if (!reader_) {
         reader_ = std::make_unique<response_reader>(read_limits{}, false);
@@ -144,7 +149,7 @@
                                std::string_view store, std::string table,
                                std::function<void(const std::vector<mesh::store_row>&)> on_rows,
                                std::function<void(bool)> on_health)
-    : connection_{loop, clock, store}, pause_timer_{loop}, table_{std::move(table)},
+    : clock_{clock}, connection_{loop, clock, store}, pause_timer_{loop}, table_{std::move(table)},
       on_rows_{std::move(on_rows)}, on_health_{std::move(on_health)} {}
 
 void table_follower::set_available() {
@@ -216,9 +221,38 @@
                      });
 }
 
+void table_follower::on_peer_row(std::uint64_t version) {
+    if (version > version_ && !overdue_since_) {
+        overdue_since_ = clock_.now();
+    }
+}
+
+void table_follower::tick() {
+    if (!overdue_since_ || !watching_) {
+        return;
+    }
+    const auto silent = clock_.now() - std::max(*overdue_since_, connection_.last_progress());
+    if (silent < stale_watch_timeout) {
+        return;
+    }
+    log(event::store_watch_restarted,
+        {{"table", table_},
+         {"waited_ms", std::chrono::duration_cast<milliseconds>(silent).count()},
+         {"received_bytes", connection_.received_bytes()}});
+    restarting_ = true;
+    connection_.drop();
+}
+
 void table_follower::watch() {
+    watching_ = true;
     connection_.call(platform_wire::watch_rows(table_, version_, watch_wait), watch_wait + watch_slack,
                      [this](const store_answer& answer) {
+                         watching_ = false;
+                         overdue_since_.reset();
+                         if (std::exchange(restarting_, false)) {
+                             watch();
+                             return;
+                         }
                          if (answer.status == status_gone) {
                              log(event::store_history_gone, {{"table", table_}, {"after", version_}});
                              read({});
--- a/src/sidecar/store_client.h
+++ b/src/sidecar/store_client.h
@@ -25,6 +25,10 @@
     void call(platform_wire::store_call call, duration timeout, store_callback done);
     /// Aborts the current call; its callback gets status 0.
     void drop();
+    /// Start of the current call, or the time of the last byte of its response.
+    [[nodiscard]] time_point last_progress() const { return last_progress_; }
+    /// Bytes of the current response.
+    [[nodiscard]] std::size_t received_bytes() const { return received_bytes_; }
 
 private:
     struct pending_call {
@@ -46,6 +50,7 @@
     std::string input_;
     std::unique_ptr<response_reader> reader_;
     std::optional<pending_call> current_;
+    time_point last_progress_{};
     time_point started_{};           ///< start of the current call
     std::size_t received_bytes_ = 0; ///< of the response to the current call
     std::deque<pending_call> queue_;
@@ -63,8 +68,11 @@
     void start() { read({}); }
     /// True while the next read or watch is delayed.
     [[nodiscard]] bool is_pausing() const { return pausing_; }
-    /// Drops the connection, which is known to miss changes, and watches again on a new one.
-    void restart() { connection_.drop(); }
+    /// A peer holds a row of the table with this version. If the watch then stays silent, its connection is
+    /// stale and is replaced.
+    void on_peer_row(std::uint64_t version);
+    /// Replaces a stale watch. Call about every 100 ms.
+    void tick();
 
 private:
     void read(const std::string& from);
@@ -74,12 +82,16 @@
     void set_available();
     void set_lost(std::string_view call, const store_answer& answer);
 
+    const clock_source& clock_;
     store_connection connection_;
     boost::asio::steady_timer pause_timer_;
     std::string table_;
     std::function<void(const std::vector<mesh::store_row>&)> on_rows_;
     std::function<void(bool)> on_health_;
     std::uint64_t version_ = 0;
+    bool watching_ = false;                   ///< a watch is open
+    bool restarting_ = false;                 ///< the open watch is being replaced
+    std::optional<time_point> overdue_since_; ///< a peer holds a row that the watch has not delivered
     std::optional<std::uint64_t> first_page_version_;
     duration retry_delay_{0};
     bool pausing_ = false;
--- a/tests/sidecar/rows_test.cpp
+++ b/tests/sidecar/rows_test.cpp
@@ -93,3 +93,81 @@
     store.set_unavailable(false);
     CHECK(run_until(loop, [&] { return captured.lines("store_regained").size() == 1; }));
 }
+
+// Guards against a store that counts as lost after each row from a peer: a loaded daemon then asked peers for
+// every change at once, until the store had answered the next watch.
+TEST_CASE("a row from a peer does not make the store count as lost") {
+    two_stores f;
+    f.store.put("op", "config", configuration(5, "books"));
+    REQUIRE(f.advance_until([&] { return f.count("configuration_in_force") == 4; }));
+    const auto watches = f.silent.watches();
+    CHECK(f.advance_until([&] { return f.count("store_watch_restarted") == 1; }));
+    CHECK(run_until(f.loop, [&] { return f.silent.watches() > watches; })); // the silent watch is replaced
+    run_steps(f.loop, 20);
+    CHECK(f.count("store_lost") == 0);
+}
+
+// Guards against a watch that is restarted while its answer is arriving over a slow link, so that the store
+// sends the same row again.
+TEST_CASE("a watch whose answer is arriving is not restarted") {
+    boost::asio::io_context loop;
+    manual_clock clock;
+    log_capture captured;
+    std::shared_ptr<stream> arriving;
+    std::string answered;
+    int watches = 0;
+    scripted_server store{
+        loop, [&](const std::shared_ptr<stream>& connection, std::string& input) {
+            for (auto end = input.find("\r\n\r\n"); end != std::string::npos; end = input.find("\r\n\r\n")) {
+                const auto head = input.substr(0, end + 4);
+                input.erase(0, end + 4);
+                if (head.find("rows-feed") != std::string::npos) {
+                    ++watches;
+                    arriving = connection;
+                    continue;
+                }
+                const std::string body{R"({"Rows":[],"HasMore":false,"Ver":1,"Now":"1ms"})"};
+                connection->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                                 "\r\n\r\n" + body);
+            }
+        }};
+    std::vector<mesh::store_row> rows;
+    table_follower follower{
+        loop,
+        clock,
+        store.address(),
+        "op",
+        [&](const std::vector<mesh::store_row>& got) { rows.insert(rows.end(), got.begin(), got.end()); },
+        [](bool) {}};
+    follower.start();
+    REQUIRE(run_until(loop, [&] { return watches == 1; }));
+    const std::string body{
+        R"({"Rows":[{"TableName":"op","part":"","Key":"k","Value":"eA==","Ver":7}],"HasMore":false,"Ver":7,"Now":"1ms"})"};
+    const auto whole =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    arriving->send(whole.substr(0, whole.size() / 2));
+    run_steps(loop, 20);
+    follower.on_peer_row(7);
+    for (int i = 0; i < 3; ++i) {
+        clock.advance(1000ms);
+        follower.tick();
+        arriving->send(whole.substr(whole.size() / 2 + static_cast<std::size_t>(i), 1));
+        run_steps(loop, 5);
+    }
+    follower.tick();
+    CHECK(store.accepted() == 1);
+    arriving->send(whole.substr(whole.size() / 2 + 3));
+    REQUIRE(run_until(loop, [&] { return rows.size() == 1; }));
+    CHECK(rows[0].version == 7);
+    CHECK(captured.lines("store_watch_restarted").empty());
+    // A stalled watch is replaced, although some of its answer has arrived.
+    REQUIRE(run_until(loop, [&] { return watches == 2; }));
+    follower.on_peer_row(9);
+    arriving->send("HTTP/1.1 200 OK\r\n");
+    run_steps(loop, 20);
+    clock.advance(2000ms);
+    follower.tick();
+    CHECK(run_until(loop, [&] { return watches == 3; }));
+    CHECK(captured.lines("store_watch_restarted").size() == 1);
+    CHECK(captured.lines("store_lost").empty());
+}
--- a/tests/sidecar/store_stand_in.h
+++ b/tests/sidecar/store_stand_in.h
@@ -39,6 +39,8 @@
         }
     }
     [[nodiscard]] int calls() const { return calls_; }
+    /// Number of watches received so far.
+    [[nodiscard]] int watches() const { return watch_calls_; }
 
 private:
     struct watch {
@@ -100,6 +102,7 @@
             }
             reply(call, 200, page(rows_of(table, 0)));
         } else if (request.target.starts_with("/-/rows-feed")) {
+            ++watch_calls_;
             watches_.push_back({call, table, std::stoull(parameter(request.target, "after"))});
             answer_watches();
         } else {
@@ -148,6 +151,7 @@
     std::vector<std::pair<std::shared_ptr<exchange>, json>> delayed_reads_;
     bool unavailable_ = false;
     int calls_ = 0;
+    int watch_calls_ = 0;
     http_server server_;
 };
 
