Ask one peer at a time for a row, for as long as its answer may be arriving

A request to a peer was dropped after 500 ms and repeated at another peer after the next exchange of heads. A configuration of 260 KB takes longer than that on a link of 10 Mbit/s that uploads use as well, so several copies competed on it.

A request now stays open for two seconds, the time of a row of 1 MB on such a link, unless the link to the peer is down or nothing has arrived on it for a second. The daemons that hold the row are remembered, so the next one is asked at once, without another exchange of heads and another wait for the store.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -226,21 +226,32 @@
     /// delivering any newer version of it.
     [[nodiscard]] std::vector<request> take_due(time_point now, duration store_timeout,
                                                 const row_replica& rows);
-    /// Time since `row` was requested from `daemon`, or nothing when it was not.
-    [[nodiscard]] std::optional<duration> elapsed(const store_row& row, const std::string& daemon,
-                                                  time_point now) const;
+    /// Ends the request for `row` if `daemon` received it, and returns the time since the request.
+    std::optional<duration> on_answer(const store_row& row, const std::string& daemon, time_point now);
+    struct open_request {
+        std::string daemon;
+        time_point since;
+    };
+    [[nodiscard]] std::vector<open_request> open_requests() const;
+    /// Ends the requests to `daemon`, which does not answer. Other daemons with the rows are asked instead.
+    void on_unanswered(const std::string& daemon);
 
 private:
-    struct missing {
-        store_row head;
+    struct holder {
         std::string daemon;
         bool same_domain = false;
+    };
+    struct missing {
+        store_row head;
+        std::vector<holder> holders;     ///< daemons with this version, those in the same domain first
         std::uint64_t known_version = 0; ///< version in the replica at the last check
-        time_point since;                ///< first head, last delivery by the store, or request
-        bool requested = false;
-        time_point announced;     ///< first head
-        std::string asked_daemon; ///< receiver of the request
+        time_point since;                ///< first head or last delivery by the store
+        time_point announced;            ///< first head
+        std::optional<open_request> request;
+        void add_holder(const std::string& daemon, bool same_domain);
     };
+    static void end_request(missing& entry);
+
     std::map<std::pair<std::string, std::string>, missing> rows_;
 };
 
--- a/src/mesh/membership.cpp
+++ b/src/mesh/membership.cpp
@@ -1,12 +1,16 @@
 #include "endive/mesh.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace endive::mesh {
 namespace {
 
-/// Timeout of a request to a peer. Afterwards the next exchange of heads selects a peer again.
-constexpr duration fetch_timeout = milliseconds{500};
+/// Timeout of a request to a peer. A row of 1 MB takes 1.7 seconds on a link of 10 Mbit/s that is half used,
+/// and a second copy would slow down the first.
+constexpr duration fetch_timeout = milliseconds{2000};
+/// Number of daemons remembered as holding a missing row.
+constexpr std::size_t max_holders = 4;
 
 std::uint64_t version_in(const row_replica& rows, const store_row& head) {
     const auto* known = rows.find(head.table, head.key);
@@ -192,21 +196,37 @@
     return result;
 }
 
+void missing_rows::missing::add_holder(const std::string& daemon, bool same_domain) {
+    const bool present = std::any_of(holders.begin(), holders.end(),
+                                     [&](const holder& entry) { return entry.daemon == daemon; });
+    if (present || holders.size() >= max_holders) {
+        return;
+    }
+    const auto first_far =
+        std::find_if(holders.begin(), holders.end(), [](const holder& entry) { return !entry.same_domain; });
+    holders.insert(same_domain ? first_far : holders.end(), {daemon, same_domain});
+}
+
 bool missing_rows::on_head(const store_row& head, const std::string& daemon, bool same_domain,
                            const row_replica& rows, time_point now) {
     const auto known = version_in(rows, head);
     if (known >= head.version) {
         return false;
     }
-    const auto [found, is_new] = rows_.try_emplace(
-        {head.table, head.key}, missing{head, daemon, same_domain, known, now, false, now, {}});
+    const auto [found, is_new] = rows_.try_emplace({head.table, head.key});
     auto& entry = found->second;
+    if (is_new) {
+        entry.known_version = known;
+        entry.since = now;
+        entry.announced = now;
+    }
     const bool is_newer = is_new || head.version > entry.head.version;
-    const bool closer = head.version == entry.head.version && same_domain && !entry.same_domain;
-    if (head.version > entry.head.version || closer) {
+    if (is_newer) {
         entry.head = head;
-        entry.daemon = daemon;
-        entry.same_domain = same_domain;
+        entry.holders.clear();
+    }
+    if (head.version == entry.head.version) {
+        entry.add_holder(daemon, same_domain);
     }
     return is_newer;
 }
@@ -217,33 +237,58 @@
     for (auto item = rows_.begin(); item != rows_.end();) {
         auto& entry = item->second;
         const auto known = version_in(rows, entry.head);
-        const bool timed_out = entry.requested && now - entry.since > fetch_timeout;
-        if (known >= entry.head.version || timed_out) {
+        if (known >= entry.head.version) {
             item = rows_.erase(item);
             continue;
         }
-        if (!entry.requested && known > entry.known_version) {
+        if (entry.request && now - entry.request->since > fetch_timeout) {
+            end_request(entry);
+        }
+        if (known > entry.known_version) {
             entry.known_version = known;
             entry.since = now;
         }
-        if (!entry.requested && now - entry.since >= store_timeout) {
-            result.push_back({entry.head, entry.daemon, now - entry.announced});
-            entry.requested = true;
-            entry.asked_daemon = entry.daemon;
-            entry.since = now;
+        if (!entry.request && !entry.holders.empty() && now - entry.since >= store_timeout) {
+            entry.request = {entry.holders.front().daemon, now};
+            result.push_back({entry.head, entry.request->daemon, now - entry.announced});
         }
         ++item;
     }
     return result;
 }
 
-std::optional<duration> missing_rows::elapsed(const store_row& row, const std::string& daemon,
-                                              time_point now) const {
+std::optional<duration> missing_rows::on_answer(const store_row& row, const std::string& daemon,
+                                                time_point now) {
     const auto found = rows_.find({row.table, row.key});
-    if (found == rows_.end() || !found->second.requested || found->second.asked_daemon != daemon) {
+    if (found == rows_.end() || !found->second.request || found->second.request->daemon != daemon) {
         return std::nullopt;
     }
-    return now - found->second.since;
+    const auto elapsed = now - found->second.request->since;
+    found->second.request.reset();
+    return elapsed;
+}
+
+std::vector<missing_rows::open_request> missing_rows::open_requests() const {
+    std::vector<open_request> result;
+    for (const auto& [key, entry] : rows_) {
+        if (entry.request) {
+            result.push_back(*entry.request);
+        }
+    }
+    return result;
+}
+
+void missing_rows::on_unanswered(const std::string& daemon) {
+    for (auto& [key, entry] : rows_) {
+        if (entry.request && entry.request->daemon == daemon) {
+            end_request(entry);
+        }
+    }
+}
+
+void missing_rows::end_request(missing& entry) {
+    std::erase_if(entry.holders, [&](const holder& known) { return known.daemon == entry.request->daemon; });
+    entry.request.reset();
 }
 
 } // namespace endive::mesh
--- a/src/sidecar/peer_link.h
+++ b/src/sidecar/peer_link.h
@@ -48,6 +48,7 @@
 
     /// Name of the other daemon; empty until its first announcement.
     [[nodiscard]] const std::string& daemon() const { return daemon_; }
+    [[nodiscard]] time_point last_received() const { return last_received_; }
     [[nodiscard]] std::int64_t daemon_start() const { return daemon_start_; }
     void set_daemon(const mesh::member& member) {
         daemon_ = member.daemon;
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -15,6 +15,9 @@
 /// Number of peers that row versions are sent to in each comparison round. On average each daemon receives
 /// two comparisons per round.
 constexpr std::size_t compared_peers = 2;
+/// A requested row is requested from another peer when nothing has arrived on the link for this long. TCP
+/// retransmits lost packets after 200 to 400 ms, so the timeout allows for two consecutive retransmissions.
+constexpr duration fetch_stall_timeout = milliseconds{1000};
 /// A daemon that has been unreachable for this long counts as permanently gone.
 constexpr duration expiry_timeout = std::chrono::seconds{60};
 
@@ -211,7 +214,7 @@
 }
 
 void peer_set::on_row(const std::string& daemon, const mesh::store_row& row) {
-    if (const auto elapsed = missing_.elapsed(row, daemon, clock_.now())) {
+    if (const auto elapsed = missing_.on_answer(row, daemon, clock_.now())) {
         log(event::row_received,
             {{"table", row.table},
              {"key", row.key},
@@ -318,6 +321,13 @@
 
 /// Requests rows that peers hold and that the store has not delivered within the fetch delay.
 void peer_set::fetch_missing(time_point now) {
+    for (const auto& request : missing_.open_requests()) {
+        const auto* entry = find(request.daemon);
+        const bool linked = entry != nullptr && entry->link;
+        if (!linked || now - std::max(request.since, entry->link->last_received()) > fetch_stall_timeout) {
+            missing_.on_unanswered(request.daemon);
+        }
+    }
     for (const auto& request : missing_.take_due(now, callbacks_.fetch_delay(), rows_)) {
         const auto* entry = find(request.daemon);
         if (entry != nullptr && entry->link) {
