Ask a peer for a row that has been missing for long, whatever the store delivers

Each delivery of the store renewed the time that a daemon waits before it asks a peer. A daemon that stays some versions behind the others thus never asked: in storms of changes the store's answers reach a slow link seconds late.

The wait now runs from the first head of the oldest version that the daemon lacks. A daemon that is one change behind for less than the wait still asks nobody, which is what the test of the 34 MB between failure domains guards; it passes as before, except that the reported waiting time is now that of the version that is missing.

Failed before: 'a row is requested from a peer when the store delivers old versions only'.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -222,8 +222,8 @@
     /// version or a newer one before.
     bool on_head(const store_row& head, const std::string& daemon, bool same_domain, const row_replica& rows,
                  time_point now);
-    /// Returns the requests to send now. A row is requested once `store_timeout` has passed without the store
-    /// delivering any newer version of it.
+    /// Returns the requests to send now. A row is requested once a version of it has been missing for
+    /// `store_timeout`, whether or not the store delivers older versions meanwhile.
     [[nodiscard]] std::vector<request> take_due(time_point now, duration store_timeout,
                                                 const row_replica& rows);
     /// Ends the request for `row` if `daemon` received it, and returns the time since the request.
@@ -241,12 +241,14 @@
         std::string daemon;
         bool same_domain = false;
     };
+    struct announcement {
+        std::uint64_t version = 0;
+        time_point time;
+    };
     struct missing {
         store_row head;
-        std::vector<holder> holders;     ///< daemons with this version, those in the same domain first
-        std::uint64_t known_version = 0; ///< version in the replica at the last check
-        time_point since;                ///< first head or last delivery by the store
-        time_point announced;            ///< first head
+        std::vector<holder> holders;         ///< daemons with this version, those in the same domain first
+        std::vector<announcement> announced; ///< first heads of the versions that the replica lacks
         std::optional<open_request> request;
         void add_holder(const std::string& daemon, bool same_domain);
     };
--- a/src/mesh/membership.cpp
+++ b/src/mesh/membership.cpp
@@ -9,6 +9,8 @@
 /// Timeout of a request to a peer. A row of 1 MB takes 1.7 seconds on a link of 10 Mbit/s that is half used,
 /// and a second copy would slow down the first.
 constexpr duration fetch_timeout = milliseconds{2000};
+/// Number of missing versions of a row whose first heads are remembered.
+constexpr std::size_t max_announcements = 32;
 /// Number of daemons remembered as holding a missing row.
 constexpr std::size_t max_holders = 4;
 
@@ -215,15 +217,15 @@
     }
     const auto [found, is_new] = rows_.try_emplace({head.table, head.key});
     auto& entry = found->second;
-    if (is_new) {
-        entry.known_version = known;
-        entry.since = now;
-        entry.announced = now;
-    }
     const bool is_newer = is_new || head.version > entry.head.version;
     if (is_newer) {
         entry.head = head;
         entry.holders.clear();
+        if (entry.announced.size() < max_announcements) {
+            entry.announced.push_back({head.version, now});
+        } else {
+            entry.announced.back().version = head.version;
+        }
     }
     if (head.version == entry.head.version) {
         entry.add_holder(daemon, same_domain);
@@ -244,13 +246,11 @@
         if (entry.request && now - entry.request->since > fetch_timeout) {
             end_request(entry);
         }
-        if (known > entry.known_version) {
-            entry.known_version = known;
-            entry.since = now;
-        }
-        if (!entry.request && !entry.holders.empty() && now - entry.since >= store_timeout) {
+        std::erase_if(entry.announced, [&](const announcement& item) { return item.version <= known; });
+        const auto waited = now - entry.announced.front().time;
+        if (!entry.request && !entry.holders.empty() && waited >= store_timeout) {
             entry.request = {entry.holders.front().daemon, now};
-            result.push_back({entry.head, entry.request->daemon, now - entry.announced});
+            result.push_back({entry.head, entry.request->daemon, waited});
         }
         ++item;
     }
