Give the store's answer after a pause its time before asking a peer

The daemon waits 950 ms for a row while the watch pauses after a change and 300 ms while it is open. At the end of the pause a row could be missing for 300 to 700 ms already, so that a peer was asked in the moment in which the watch was sent, and the peer's copy competed with the store's answer.

The longer time now holds also until the first bytes of the answer are due, and while an answer is arriving.

The test uses the new call is_delivering; is_pausing was false once the watch had been sent.

--- a/src/sidecar/sidecar_moves.cpp
+++ b/src/sidecar/sidecar_moves.cpp
@@ -20,7 +20,7 @@
 /// Rows are large and cross failure domains, so a peer is asked only after the store had time to deliver the
 /// row. Changes must be active on all daemons within two seconds.
 constexpr duration fetch_delay_watching = milliseconds{300};
-constexpr duration fetch_delay_pausing = milliseconds{950};
+constexpr duration fetch_delay_delivering = milliseconds{950};
 /// Timeout for the first answer of the store after the start. The answer may be queued behind those to other
 /// daemons that started at the same time.
 constexpr duration first_answer_timeout = milliseconds{1000};
@@ -134,16 +134,16 @@
     return result;
 }
 
-/// An available store delivers a change immediately, or after the pause between two watches.
+/// An available store delivers a change immediately, or with the answer after the pause between two watches.
 duration sidecar::fetch_delay() const {
     const bool just_started = clock_.now() - started_ < first_answer_timeout;
     if (!store_available_ && !just_started) {
         return duration{0};
     }
     if (!store_available_) {
-        return fetch_delay_pausing;
+        return fetch_delay_delivering;
     }
-    return operator_rows_.is_pausing() ? fetch_delay_pausing : fetch_delay_watching;
+    return operator_rows_.is_delivering() ? fetch_delay_delivering : fetch_delay_watching;
 }
 
 /// Schedules the next comparison soon, even after a long time without changes.
--- a/src/sidecar/store_client.cpp
+++ b/src/sidecar/store_client.cpp
@@ -18,6 +18,8 @@
 /// Delay of the next watch after a change. Changes in quick succession are received with one call, and each
 /// is active well within the limit of two seconds.
 constexpr duration pause_after_change = milliseconds{700};
+/// Time in which the first bytes of an answer that the store already has arrive, or its next bytes.
+constexpr duration answer_timeout = milliseconds{300};
 /// A watch without received bytes for this long, although a peer holds a newer row, is stale. Replacing it
 /// sooner would make the store send an answer again that waits in a slow link's queue.
 constexpr duration stale_watch_timeout = milliseconds{2000};
@@ -221,6 +223,10 @@
                      });
 }
 
+bool table_follower::is_delivering() const {
+    return pausing_ || clock_.now() - connection_.last_progress() < answer_timeout;
+}
+
 void table_follower::on_peer_row(std::uint64_t version) {
     if (version > version_ && !overdue_since_) {
         overdue_since_ = clock_.now();
--- a/src/sidecar/store_client.h
+++ b/src/sidecar/store_client.h
@@ -66,8 +66,8 @@
                    std::string table, std::function<void(const std::vector<mesh::store_row>&)> on_rows,
                    std::function<void(bool)> on_health);
     void start() { read({}); }
-    /// True while the next read or watch is delayed.
-    [[nodiscard]] bool is_pausing() const { return pausing_; }
+    /// True while the next read or watch is delayed, its answer is arriving or may be on the way.
+    [[nodiscard]] bool is_delivering() const;
     /// A peer holds a row of the table with this version. If the watch then stays silent, its connection is
     /// stale and is replaced.
     void on_peer_row(std::uint64_t version);
--- a/tests/sidecar/rows_test.cpp
+++ b/tests/sidecar/rows_test.cpp
@@ -160,8 +160,13 @@
     REQUIRE(run_until(loop, [&] { return rows.size() == 1; }));
     CHECK(rows[0].version == 7);
     CHECK(captured.lines("store_watch_restarted").empty());
-    // A stalled watch is replaced, although some of its answer has arrived.
+    // The store is given time for its answer after the pause, too, before peers are asked.
+    CHECK(follower.is_delivering());
     REQUIRE(run_until(loop, [&] { return watches == 2; }));
+    CHECK(follower.is_delivering());
+    clock.advance(400ms);
+    CHECK_FALSE(follower.is_delivering());
+    // A stalled watch is replaced, although some of its answer has arrived.
     follower.on_peer_row(9);
     arriving->send("HTTP/1.1 200 OK\r\n");
     run_steps(loop, 20);
