Limit the time of a request's body

What callers would see: a caller that sent the head of a request and then nothing, or a body that never ends, held its connection and the bytes read so far without a time limit. Change: a request that isn't complete 60 s after its first byte gets 408, and its connection is closed. Test: "a body without end is ended by its time limit" (silent and trickling) failed before (no 408).

--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -13,6 +13,8 @@
 /// Maximum time to wait for the caller to close a connection after its last response. Closing earlier could
 /// reset the connection before the caller has read the response.
 constexpr duration linger_time = std::chrono::seconds{1};
+/// Maximum time from the first byte of a request to the last of its body. It is longer than callers wait.
+constexpr duration body_timeout = std::chrono::seconds{60};
 /// Added to the header and idle timeouts so that a caller that just meets the limit is not disconnected.
 constexpr duration timeout_slack = milliseconds{500};
 
@@ -71,6 +73,8 @@
         } else if (partial && !reader_->has_header() &&
                    now - phase_start_ > limits.header_timeout + timeout_slack) {
             reject(status_request_timeout, "the header took too long");
+        } else if (partial && now - phase_start_ > body_timeout) {
+            reject(status_request_timeout, "the body took too long");
         }
     }
 
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -48,7 +48,7 @@
     /// From now on connections are closed after their last pending response, so that callers switch to
     /// another daemon.
     void start_draining();
-    /// Closes connections that exceed the idle or header timeout. Call a few times per second.
+    /// Closes connections that exceed the idle, header or body timeout. Call a few times per second.
     void sweep(time_point now);
     [[nodiscard]] std::size_t session_count() const { return sessions_.size(); }
     /// Number of requests that have been received but not answered yet.
--- a/tests/sidecar/http_server_test.cpp
+++ b/tests/sidecar/http_server_test.cpp
@@ -166,3 +166,26 @@
                               {"Content-Length", "3"}};
     CHECK(end_to_end_headers(headers) == header_list{{"X-Request-Id", "7"}});
 }
+
+// Guards against a request whose body never ends holding its connection and memory without a time limit.
+TEST_CASE("a body without end is ended by its time limit") {
+    const bool silent = GENERATE(true, false);
+    fixture f;
+    raw_client client{f.loop, f.address};
+    client.send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n");
+    raw_client other{f.loop, f.address};
+    other.send(get("/2"));
+    REQUIRE(f.wait_for(1));
+    for (int second = 0; second <= 60; ++second) {
+        if (!silent) {
+            client.send("a");
+        }
+        f.clock.advance(1s);
+        run_steps(f.loop, 2);
+        f.server.sweep(f.clock.now());
+    }
+    CHECK(client.expect("HTTP/1.1 408"));
+    CHECK(f.requests.size() == 1);
+    f.answer(0, "other");
+    CHECK(other.expect("other"));
+}
