Limit the bodies of heartbeats, readiness checks and metrics queries to 64 KiB

What peers would see: a body of up to 64 MB was read on each connection to these servers, whose requests are small. Cause: they kept the default limits, which are for callers; set_limits was called for the callers' server only. Test: "heartbeats, readiness checks and metrics queries with a large body are rejected" failed before (no 413).

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -13,6 +13,8 @@
 constexpr duration slow_tick_interval = milliseconds{100};
 /// Replies always carry the load; apart from that, a change is published at most this often.
 constexpr duration load_interval = milliseconds{200};
+/// Maximum body size of requests that the daemon handles itself, such as heartbeats.
+constexpr std::uint64_t max_own_request_bytes = 64UL * 1024;
 constexpr duration store_timeout = milliseconds{3000};
 /// Interval of re-reading the member rows, to find daemons that no peer has announced.
 constexpr duration member_read_interval = std::chrono::seconds{30};
@@ -96,6 +98,11 @@
             loop, clock, settings_.metrics_address,
             [this](const std::shared_ptr<exchange>& request) { on_metrics(request); });
     }
+    for (auto* server : {&readiness_, &announcements_, metrics_.get()}) {
+        if (server != nullptr) {
+            server->set_limits({.body_bytes = max_own_request_bytes});
+        }
+    }
     self_.daemon = settings_.name;
     self_.daemon_start_unix_ms = to_unix_ms(clock_.wall_now());
     self_.address = settings_.advertised_peer_address.empty() ? settings_.peers_address
--- a/tests/sidecar/endless_bytes_test.cpp
+++ b/tests/sidecar/endless_bytes_test.cpp
@@ -2,6 +2,7 @@
 
 #include "sidecar/endless_server.h"
 #include "sidecar/endpoint_service.h"
+#include "sidecar/vm.h"
 
 #include <catch2/catch.hpp>
 
@@ -279,3 +280,18 @@
     CHECK(run_until(loop, [&] { return server.closed() == 1; }));
     CHECK(f.client.idle_connections() == 0);
 }
+
+// Guards against the daemon's own servers, whose requests are small, reading bodies as large as a caller's.
+TEST_CASE("heartbeats, readiness checks and metrics queries with a large body are rejected") {
+    boost::asio::io_context loop;
+    const manual_clock clock;
+    const store_stand_in store{loop, clock};
+    const vm machine{loop, clock, store, "a", "s"};
+    const auto& settings = machine.settings;
+    for (const auto& address :
+         {settings.announcements_address, settings.readiness_address, settings.metrics_address}) {
+        raw_client client{loop, address};
+        client.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n");
+        CHECK(client.expect("HTTP/1.1 413"));
+    }
+}
