Close idle and overdue connections to the metrics server

What operators would see: connections to the metrics server, also with a request that never ends, stayed open for the life of the process. Test: "idle connections to the metrics server are closed" failed before (not closed after 60 s of the runtime's clock).

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -452,6 +452,9 @@
     callers_.sweep(now);
     readiness_.sweep(now);
     announcements_.sweep(now);
+    if (metrics_) {
+        metrics_->sweep(now);
+    }
     local_.sweep(now);
     local_.update([&](mesh::endpoint_tracker& tracker) {
         if (tracker.expire(now, settings_.heartbeat_interval * max_missed_heartbeats)) {
--- a/tests/sidecar/endless_bytes_test.cpp
+++ b/tests/sidecar/endless_bytes_test.cpp
@@ -295,3 +295,15 @@
         CHECK(client.expect("HTTP/1.1 413"));
     }
 }
+
+// Guards against connections to the metrics server staying open without a time limit.
+TEST_CASE("idle connections to the metrics server are closed") {
+    boost::asio::io_context loop;
+    manual_clock clock;
+    const store_stand_in store{loop, clock};
+    const vm machine{loop, clock, store, "a", "s"};
+    const raw_client client{loop, machine.settings.metrics_address};
+    run_steps(loop, 10);
+    clock.advance(60s);
+    CHECK(run_until(loop, [&] { return client.ended(); }));
+}
