Keep a connection open while its last response is being sent

What callers saw: a response cut in the middle on a slow connection, if it was the last of its connection. Cause: a connection that ends after a response was closed 1 s after the response was queued, whether or not it had been sent. Change: the time to wait for the caller's close starts when the caller has acknowledged the response.

--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -10,8 +10,8 @@
 /// Maximum bytes of pipelined requests that are buffered per connection; beyond it reading pauses and TCP
 /// flow control slows the caller down.
 constexpr std::size_t max_pipelined_bytes = 256UL * 1024;
-/// Maximum time to wait for the caller to close a connection after its last response. Closing earlier could
-/// reset the connection before the caller has read the response.
+/// Maximum time to wait for the caller to close a connection after its last response was delivered. Closing
+/// earlier could reset the connection before the caller has read the response.
 constexpr duration linger_time = std::chrono::seconds{1};
 /// Maximum time from the first byte of a request to the last of its body. It is longer than callers wait.
 constexpr duration body_timeout = std::chrono::seconds{60};
@@ -57,7 +57,9 @@
     void sweep(time_point now) {
         const auto& limits = server_->limits_;
         if (closing_) {
-            if (now - phase_start_ > linger_time) {
+            if (connection_->is_undelivered()) {
+                phase_start_ = now;
+            } else if (now - phase_start_ > linger_time) {
                 drop();
             }
             return;
--- a/src/sidecar/stream.cpp
+++ b/src/sidecar/stream.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace endive::sidecar {
 namespace {
@@ -140,6 +142,16 @@
                              });
 }
 
+bool stream::is_undelivered() {
+    if (!open_ || write_failed_) {
+        return false;
+    }
+    int unacknowledged = 0;
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg): the kernel's interface
+    return sending() ||
+           (::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0);
+}
+
 void stream::finish_sending() {
     finish_after_write_ = true;
     write_next();
--- a/src/sidecar/stream.h
+++ b/src/sidecar/stream.h
@@ -37,6 +37,8 @@
     void send(std::string bytes);
     void send(std::shared_ptr<const std::string> bytes);
     [[nodiscard]] bool sending() const { return !queue_.empty(); }
+    /// True while sent bytes have not been acknowledged by the other side.
+    [[nodiscard]] bool is_undelivered();
     /// Shuts down the sending side once all queued bytes are written. The connection closes when the other
     /// side has ended too, or at `close`.
     void finish_sending();
--- a/tests/sidecar/http_server_test.cpp
+++ b/tests/sidecar/http_server_test.cpp
@@ -100,6 +100,25 @@
     CHECK(run_until(f.loop, [&] { return idle.ended(); }));
 }
 
+// Guards against cutting a long response on a slow connection: one that ends after its response was closed 1
+// s after the response was queued.
+TEST_CASE("a connection that ends after its response is not closed while the response is being sent") {
+    constexpr std::size_t body_bytes = 32UL * 1024 * 1024;
+    fixture f;
+    stalled_client client{f.loop, f.address};
+    client.send(get("/1", "Connection: close\r\n"));
+    REQUIRE(f.wait_for(1));
+    f.answer(0, std::string(body_bytes, 'x'));
+    for (int i = 0; i < 30; ++i) {
+        f.clock.advance(100ms);
+        run_steps(f.loop, 2);
+        f.server.sweep(f.clock.now());
+    }
+    CHECK(f.server.session_count() == 1);
+    client.read(body_bytes + 1);
+    CHECK(client.received().size() > body_bytes);
+}
+
 TEST_CASE("malformed and ambiguously framed requests are rejected and the connection closed") {
     const std::vector<std::string> attempts{
         "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET "
--- a/tests/sidecar/loopback.h
+++ b/tests/sidecar/loopback.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 
+#include <array>
 #include <functional>
 #include <stdexcept>
 #include <string>
@@ -95,6 +96,35 @@
     bool ended_ = false;
 };
 
+/// A client that reads nothing until `read`, so that a long response fills the buffers of its connection.
+class stalled_client {
+public:
+    stalled_client(boost::asio::io_context& loop, const std::string& address) : loop_{loop}, socket_{loop} {
+        socket_.connect(to_endpoint(address));
+        socket_.non_blocking(true);
+    }
+    /// Returns when the bytes are in the receive buffer of the other side.
+    void send(const std::string& bytes) { boost::asio::write(socket_, boost::asio::buffer(bytes)); }
+    /// Reads until `size` bytes in all or the end of the connection have been received.
+    void read(std::size_t size) {
+        std::array<char, 65536> buffer{};
+        run_until(loop_, [&] {
+            error_code code;
+            while (!code && received_.size() < size) {
+                const auto count = socket_.read_some(boost::asio::buffer(buffer), code);
+                received_.append(buffer.data(), count);
+            }
+            return code != boost::asio::error::would_block;
+        });
+    }
+    [[nodiscard]] const std::string& received() const { return received_; }
+
+private:
+    boost::asio::io_context& loop_;
+    tcp::socket socket_;
+    std::string received_;
+};
+
 /// Accepts connections and calls a script with the connection and the received bytes.
 class scripted_server {
 public:
