Keep an idle connection whose next request has not been read

On a busy loop it may run before the bytes that arrived in time are read. Evidence: read from the code; such a request is not read, so callers may repeat it. Change: a connection with bytes in its receive buffer is not idle. Test: "an idle connection with an unread request is not closed while the daemon stops" failed before.

--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -71,7 +71,10 @@
         const auto idle_timeout =
             server_->draining_ ? draining_idle_timeout : limits.idle_timeout + timeout_slack;
         if (!partial && now - phase_start_ > idle_timeout) {
-            drop();
+            // A request that arrived in time may not have been read yet on a busy loop.
+            if (!connection_->has_unread()) {
+                drop();
+            }
         } else if (partial && !reader_->has_header() &&
                    now - phase_start_ > limits.header_timeout + timeout_slack) {
             reject(status_request_timeout, "the header took too long");
--- a/src/sidecar/stream.cpp
+++ b/src/sidecar/stream.cpp
@@ -152,6 +152,11 @@
            (::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0);
 }
 
+bool stream::has_unread() const {
+    error_code ignored; // a failed socket reports its error on the next read
+    return open_ && socket_.available(ignored) > 0;
+}
+
 void stream::finish_sending() {
     finish_after_write_ = true;
     write_next();
--- a/src/sidecar/stream.h
+++ b/src/sidecar/stream.h
@@ -39,6 +39,8 @@
     [[nodiscard]] bool sending() const { return !queue_.empty(); }
     /// True while sent bytes have not been acknowledged by the other side.
     [[nodiscard]] bool is_undelivered();
+    /// True when received bytes have not been read yet.
+    [[nodiscard]] bool has_unread() const;
     /// Shuts down the sending side once all queued bytes are written. The connection closes when the other
     /// side has ended too, or at `close`.
     void finish_sending();
--- a/tests/sidecar/http_server_test.cpp
+++ b/tests/sidecar/http_server_test.cpp
@@ -119,6 +119,21 @@
     CHECK(client.received().size() > body_bytes);
 }
 
+// Guards against resetting a connection whose next request has arrived but has not been read yet.
+TEST_CASE("an idle connection with an unread request is not closed while the daemon stops") {
+    fixture f;
+    stalled_client client{f.loop, f.address};
+    client.send(get("/1"));
+    REQUIRE(f.wait_for(1));
+    f.answer(0, "first");
+    run_steps(f.loop, 10);
+    f.server.start_draining();
+    f.clock.advance(1s);
+    client.send(get("/2"));
+    f.server.sweep(f.clock.now());
+    CHECK(f.wait_for(2));
+}
+
 TEST_CASE("malformed and ambiguously framed requests are rejected and the connection closed") {
     const std::vector<std::string> attempts{
         "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET "
