Answer requests that are open when the grace period ends

What callers saw: a connection closed without a response, 5.6 s after SIGTERM. Cause: at the end of the grace period the loop was stopped with requests open, without a response or a log line. Requests that arrive within 2.5 s of SIGTERM are served whatever their deadline, so they may be open then. Change: 300 ms before the process ends (5.3 s after SIGTERM with a grace of 6 s, its last sixth) open requests get 502, reason `stopping`, and their attempts are cancelled. 502 promises nothing: another daemon may have run them. Requests that arrive later are refused. Test: "a request that is open at the end of the grace period is answered" failed before (no response).

--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -212,7 +212,9 @@
     const auto allowed = std::min(remaining.value_or(default_timeout), item->route->timeout);
     item->deadline = item->arrived + allowed;
     item->age = remaining ? ages_.age(item->route->name, *remaining, item->arrived) : duration{0};
-    if (stop_ && item->arrived - stop_->begin > stop_notice_time && item->deadline > stop_->end) {
+    const bool noticed = stop_ && item->arrived - stop_->begin > stop_notice_time;
+    const bool ending = stop_ && item->arrived >= stop_->end;
+    if (ending || (noticed && item->deadline > stop_->end)) {
         refuse(item, mesh::reason::stopping, default_retry_after);
         return;
     }
@@ -578,6 +580,19 @@
     }
 }
 
+void forwarder::end_requests() {
+    const auto ended = open_;
+    for (const auto& item : ended) {
+        if (item->caller->finished()) {
+            release(item);
+        } else if (item->failed_answer) {
+            deliver(item, std::move(*item->failed_answer));
+        } else {
+            fail(item, status_bad_gateway, mesh::reason::stopping);
+        }
+    }
+}
+
 void forwarder::tick(time_point now) {
     replace_suspect_attempts(now);
     std::vector<std::shared_ptr<active_request>> expired;
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -14,12 +14,14 @@
     forwarder(const clock_source& clock, counter_set& counters, const sidecar_settings& settings,
               endpoint_service& local, peer_set& peers, rollouts& moves);
     void set_configuration(std::shared_ptr<const mesh::route_index> routes) { routes_ = std::move(routes); }
-    /// The daemon stops at `stop` and the process ends at `end`. Requests with a later deadline are refused,
+    /// The daemon stops at `stop` and ends its work at `end`. Requests with a later deadline are refused,
     /// except those that arrive shortly after `stop`.
     void set_stop_times(time_point stop, time_point end) { stop_ = {stop, end}; }
     void handle(const std::shared_ptr<exchange>& request);
     /// Ends requests whose deadline has passed. Call every few tens of milliseconds.
     void tick(time_point now);
+    /// Answers all open requests, since the process is about to end, and cancels their attempts.
+    void end_requests();
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
     /// Time from arrival to response, of requests that an endpoint answered.
     [[nodiscard]] const latency_histogram& latency() const { return latency_; }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -538,9 +538,9 @@
     stopping_since_ = clock_.now();
     log(event::stopping, {{"open_requests", forwarder_.open_requests()}, {"open_jobs", local_.open_jobs()}});
     callers_.start_draining();
-    const auto end = *stopping_since_ + settings_.stop_grace - stop_reserve - settle_time;
-    forwarder_.set_stop_times(*stopping_since_, end);
-    local_.set_stop_deadline(end);
+    work_end_ = *stopping_since_ + settings_.stop_grace - stop_reserve - settle_time;
+    forwarder_.set_stop_times(*stopping_since_, work_end_);
+    local_.set_stop_deadline(work_end_);
     publish_self();
 }
 
@@ -548,6 +548,9 @@
 /// the grace period is over.
 void sidecar::finish_stop(time_point now) {
     const auto elapsed = now - *stopping_since_;
+    if (now >= work_end_) {
+        forwarder_.end_requests();
+    }
     const bool idle = forwarder_.open_requests() == 0 && local_.open_jobs() == 0;
     if (!idle) {
         idle_since_.reset();
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -83,6 +83,7 @@
     time_point next_slow_tick_{};
     time_point next_load_{};
     std::optional<time_point> stopping_since_;
+    time_point work_end_; ///< when work that is left in a stop is ended, early enough to deliver the answers
     std::optional<time_point> idle_since_; ///< while stopping
     std::vector<mesh::rollout_progress> published_progress_;
     time_point next_evidence_{};
--- /dev/null
+++ b/tests/sidecar/stop_test.cpp
@@ -0,0 +1,73 @@
+// Work and responses left at the end of a daemon's grace period, on loopback event loops.
+
+#include "sidecar/vm.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endive;
+using namespace endive::sidecar;
+using namespace endive::sidecar::test;
+
+namespace {
+
+/// Two VMs with a loop each: callers use `front`; `back` serves `books`.
+struct stop_fixture {
+    stop_fixture() {
+        store.put("op", "config", configuration(3, "books", "unsafe"));
+        front = std::make_unique<vm>(loop, clock, store, "vm-a", "web");
+        back = std::make_unique<vm>(back_loop, clock, store, "vm-b", "books");
+        raw_client client{loop, front->settings.callers_address};
+        for (int i = 0; i < 1000 && !has(client, "served by"); ++i) {
+            pass(100ms);
+            client.send(read_call("warm" + std::to_string(i), 4000ms));
+        }
+        REQUIRE(has(client, "served by"));
+        pass(200ms);
+    }
+
+    static bool has(const raw_client& caller, const std::string& text) {
+        return caller.received().find(text) != std::string::npos;
+    }
+
+    /// Runs the loops while time passes, until a daemon has stopped its loop.
+    void pass(milliseconds time) {
+        constexpr milliseconds step = 100ms;
+        loop.restart();
+        back_loop.restart();
+        for (milliseconds passed = 0ms; passed < time && !stopped(); passed += step) {
+            clock.advance(step);
+            if (front_runs) {
+                loop.run_for(25ms);
+            }
+            back_loop.run_for(25ms);
+        }
+    }
+    [[nodiscard]] bool stopped() const { return loop.stopped() || back_loop.stopped(); }
+
+    boost::asio::io_context loop;
+    boost::asio::io_context back_loop;
+    bool front_runs = true;
+    manual_clock clock;
+    store_stand_in store{loop, clock};
+    std::unique_ptr<vm> front;
+    std::unique_ptr<vm> back;
+};
+
+} // namespace
+
+// Guards against closing connections without a response when the grace period ends with requests open.
+TEST_CASE("a request that is open at the end of the grace period is answered") {
+    stop_fixture f;
+    f.back->holding = true;
+    f.front->daemon->stop();
+    f.pass(1000ms);
+    raw_client caller{f.loop, f.front->settings.callers_address};
+    caller.send(read_call("late", 5000ms));
+    f.pass(3500ms);
+    REQUIRE(f.back->held.size() == 1);
+    CHECK(caller.received().empty());
+    f.pass(2000ms);
+    CHECK(f.loop.stopped());
+    f.loop.restart();
+    CHECK(caller.expect("HTTP/1.1 502"));
+}
