Deliver responses before a stopping daemon ends

What callers saw: a response cut in the middle when its daemon ended. Cause: a daemon without open requests and jobs ended 300 ms later, though response bytes could be queued for a caller that reads slowly. Evidence: the log could not show it before; `stopped` says now how many connections have unacknowledged bytes. Change: the settle time starts when the callers have acknowledged all response bytes; the grace period bounds it. `unsent_responses` of the line `stopped` is `undelivered_responses`: it counts bytes in the kernel's buffer too. Test: "a stopping daemon does not end while a response to a caller is being sent" failed before (3.9 of 32 MiB received).

--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -91,7 +91,7 @@
     }
 
     [[nodiscard]] std::size_t open_exchanges() const { return pending_.size(); }
-    [[nodiscard]] bool sending() const { return connection_->sending(); }
+    [[nodiscard]] bool is_undelivered() const { return connection_->is_undelivered(); }
 
 private:
     struct pending {
@@ -308,10 +308,11 @@
     return count;
 }
 
-std::size_t http_server::unsent_sessions() const {
+std::size_t http_server::undelivered_sessions() const {
     return static_cast<std::size_t>(
-        std::count_if(sessions_.begin(), sessions_.end(),
-                      [](const std::shared_ptr<http_session>& session) { return session->sending(); }));
+        std::count_if(sessions_.begin(), sessions_.end(), [](const std::shared_ptr<http_session>& session) {
+            return session->is_undelivered();
+        }));
 }
 
 http_message own_response(unsigned status, std::string body) {
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -53,8 +53,8 @@
     [[nodiscard]] std::size_t session_count() const { return sessions_.size(); }
     /// Number of requests that have been received but not answered yet.
     [[nodiscard]] std::size_t open_exchanges() const;
-    /// Number of connections with response bytes that have not been passed to the kernel yet.
-    [[nodiscard]] std::size_t unsent_sessions() const;
+    /// Number of connections with response bytes that the caller has not acknowledged yet.
+    [[nodiscard]] std::size_t undelivered_sessions() const;
 
 private:
     friend class http_session;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -544,14 +544,15 @@
     publish_self();
 }
 
-/// Stops the event loop when callers have had time to switch to other daemons and all work is done, or when
-/// the grace period is over.
+/// Stops the event loop when callers have had time to switch to other daemons, all work is done and its
+/// answers are delivered, or when the grace period is over.
 void sidecar::finish_stop(time_point now) {
     const auto elapsed = now - *stopping_since_;
     if (now >= work_end_) {
         forwarder_.end_requests();
     }
-    const bool idle = forwarder_.open_requests() == 0 && local_.open_jobs() == 0;
+    const bool delivered = callers_.undelivered_sessions() == 0;
+    const bool idle = forwarder_.open_requests() == 0 && local_.open_jobs() == 0 && delivered;
     if (!idle) {
         idle_since_.reset();
     } else if (!idle_since_) {
@@ -565,7 +566,7 @@
     log(event::stopped, {{"elapsed_ms", std::chrono::duration_cast<milliseconds>(elapsed).count()},
                          {"open_requests", forwarder_.open_requests()},
                          {"open_jobs", local_.open_jobs()},
-                         {"unsent_responses", callers_.unsent_sessions()}});
+                         {"undelivered_responses", callers_.undelivered_sessions()}});
     loop_.stop();
 }
 
--- a/tests/sidecar/stop_test.cpp
+++ b/tests/sidecar/stop_test.cpp
@@ -2,6 +2,8 @@
 
 #include "sidecar/vm.h"
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 using namespace endive;
@@ -10,6 +12,8 @@
 
 namespace {
 
+constexpr std::size_t long_body = 32UL * 1024 * 1024;
+
 /// Two VMs with a loop each: callers use `front`; `back` serves `books`.
 struct stop_fixture {
     stop_fixture() {
@@ -71,3 +75,20 @@
     f.loop.restart();
     CHECK(caller.expect("HTTP/1.1 502"));
 }
+
+// Guards against ending the process while a caller's connection still has response bytes to send.
+TEST_CASE("a stopping daemon does not end while a response to a caller is being sent") {
+    stop_fixture f;
+    f.back->padding = long_body;
+    stalled_client caller{f.loop, f.front->settings.callers_address};
+    caller.send(read_call("long", 4500ms));
+    f.pass(500ms);
+    f.front->daemon->stop();
+    f.pass(4500ms);
+    CHECK_FALSE(f.loop.stopped());
+    f.loop.restart();
+    caller.read(long_body);
+    CHECK(caller.received().size() >= long_body);
+    f.pass(2000ms);
+    CHECK(f.loop.stopped());
+}
