Deliver replies to other daemons before a stopping daemon ends

What callers saw: 502 for a request that its endpoint had finished, when the daemon beside the endpoint ended. Cause: a job is done when its reply is queued on the link. The daemon ended 300 ms later, though on a slow link the reply could be queued for longer. Evidence: read from the code, as for responses to callers. Change: the settle time starts when the other daemons have acknowledged the replies. Other messages do not delay the stop: a link counts only from a reply until all of its bytes are acknowledged once.

--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -135,6 +135,7 @@
                 reply_message sent = reply;
                 sent.stream = stream_id;
                 link->send(sent);
+                link->reply_undelivered_ = true;
             }
         });
     const auto found = serving_.find(stream_id);
@@ -143,6 +144,11 @@
     }
 }
 
+bool peer_link::has_undelivered_reply() {
+    reply_undelivered_ = reply_undelivered_ && connection_->is_undelivered();
+    return reply_undelivered_;
+}
+
 void peer_link::tick(time_point now) {
     if (ended_) {
         return;
--- a/src/sidecar/peer_link.h
+++ b/src/sidecar/peer_link.h
@@ -61,6 +61,8 @@
     /// calls have ended: the other daemon may only be slow, and closing the link would end runs at both
     /// endpoints.
     [[nodiscard]] bool is_retired() const { return retired_; }
+    /// True while a reply to a call of the other daemon has not been acknowledged.
+    [[nodiscard]] bool has_undelivered_reply();
     /// Pings an idle link, retires one that no longer answers and closes it some time after its last call.
     /// Call about every 100 ms.
     void tick(time_point now);
@@ -84,6 +86,7 @@
     std::map<std::uint64_t, std::uint64_t> serving_; ///< calls received: local id by stream
     time_point last_received_;
     std::optional<time_point> ping_sent_;
+    bool reply_undelivered_ = false;
     bool retired_ = false;
     time_point retired_idle_since_{}; ///< end of the last call or write since the link was retired
     bool ended_ = false;
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -353,6 +353,11 @@
         peers_.begin(), peers_.end(), [](const auto& item) { return item.second.link != nullptr; }));
 }
 
+bool peer_set::has_undelivered_replies() const {
+    return std::any_of(links_.begin(), links_.end(),
+                       [](const auto& link) { return link->has_undelivered_reply(); });
+}
+
 std::vector<mesh::member> peer_set::expired_members(time_point now) const {
     std::vector<mesh::member> result;
     for (const auto& [name, entry] : peers_) {
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -62,6 +62,8 @@
     /// Connects to peers without a link, checks the links and requests missing rows. Call about every 100 ms.
     void tick(time_point now);
     [[nodiscard]] std::size_t link_count() const;
+    /// True while a link has a reply that the other daemon has not acknowledged.
+    [[nodiscard]] bool has_undelivered_replies() const;
     /// Daemons that have been unreachable for so long that their rows may be removed.
     [[nodiscard]] std::vector<mesh::member> expired_members(time_point now) const;
     void remove_member(const std::string& daemon) { peers_.erase(daemon); }
--- a/tests/sidecar/stop_test.cpp
+++ b/tests/sidecar/stop_test.cpp
@@ -92,3 +92,26 @@
     f.pass(2000ms);
     CHECK(f.loop.stopped());
 }
+
+// Guards against ending the process while a reply to another daemon's call is still queued on its link.
+TEST_CASE("a stopping daemon does not end while a reply to another daemon is being sent") {
+    stop_fixture f;
+    f.back->holding = true;
+    raw_client caller{f.loop, f.front->settings.callers_address};
+    caller.send(read_call("long", 5000ms));
+    f.pass(500ms);
+    REQUIRE(f.back->held.size() == 1);
+    f.back->daemon->stop();
+    f.pass(500ms);
+    f.back->padding = long_body;
+    f.back->release();
+    f.front_runs = false;
+    f.pass(3500ms);
+    CHECK_FALSE(f.back_loop.stopped());
+    f.front_runs = true;
+    f.back_loop.restart();
+    CHECK(run_until(f.loop, [&] {
+        f.back_loop.run_one_for(1ms);
+        return caller.received().size() >= long_body;
+    }));
+}
