Apply the body limit when a body arrives with its header

What peers would see: a response with a Content-Length beyond the limit was read to its announced end, whatever its length, when the first bytes of its body came in the same read as its header. An endpoint or the store could so fill the memory. Change: the reader compares the length again before the first byte of the body.

--- a/src/sidecar/http_message.cpp
+++ b/src/sidecar/http_message.cpp
@@ -182,10 +182,15 @@
 template <bool is_request>
 void message_reader<is_request>::on_body_init_impl(const boost::optional<std::uint64_t>& length,
                                                    error_code& code) {
+    code = {};
     if (length) {
+        // Beast checks the length of a response too, but loses the error when body bytes follow the header.
+        if (*length > max_body_bytes_) {
+            code = http::error::body_limit;
+            return;
+        }
         message_.body.reserve(std::min(*length, max_reserved_body_bytes));
     }
-    code = {};
 }
 
 template <bool is_request>
--- a/src/sidecar/http_message.h
+++ b/src/sidecar/http_message.h
@@ -47,7 +47,8 @@
 template <bool is_request>
 class message_reader final : public boost::beast::http::basic_parser<is_request> {
 public:
-    message_reader(const read_limits& limits, bool no_body) : max_header_bytes_{limits.header_bytes} {
+    message_reader(const read_limits& limits, bool no_body)
+        : max_header_bytes_{limits.header_bytes}, max_body_bytes_{limits.body_bytes} {
         this->eager(true);
         this->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
         this->body_limit(limits.body_bytes);
@@ -79,6 +80,7 @@
 
     http_message message_;
     std::uint64_t max_header_bytes_;
+    std::uint64_t max_body_bytes_;
     std::uint64_t header_bytes_ = 0; ///< consumed so far
     bool header_done_ = false;
 };
--- a/tests/sidecar/endless_bytes_test.cpp
+++ b/tests/sidecar/endless_bytes_test.cpp
@@ -205,6 +205,18 @@
     CHECK(run_until(loop, [&] { return server.accepted() == 2; }));
 }
 
+// Guards against the limit being lost when the first bytes of the body arrive together with the header.
+TEST_CASE("a body beyond the limit is rejected when it arrives with its header") {
+    for (const std::string length : {"16385", "18446744073709551615"}) {
+        const auto rest = "Content-Length: " + length + "\r\n\r\na";
+        CHECK(read_without_end<response_reader>(response_head + rest, "a") == read_status::body_too_large);
+        CHECK(read_without_end<request_reader>(request_head + rest, "a") == read_status::body_too_large);
+    }
+    CHECK(read_without_end<response_reader>(response_head + chunked + "4001\r\na", "a") ==
+          read_status::body_too_large);
+    CHECK(read_without_end<response_reader>(response_head + "\r\na", "a") == read_status::body_too_large);
+}
+
 // Guards against responses that are not the expected one being read without end.
 TEST_CASE("interim responses without end are rejected") {
     boost::asio::io_context loop;
