Limit an answer of the store to 8 MB

What callers would see: two connections to the store could each hold an answer of 64 MB, on VMs of 160 MB. Cause: the default limit of a message was kept; the time of each call and watch was limited already. Change: an answer may have 8 MB. A page of rows has 1 MB of values. "an answer of the store without end is ended at its timeout" holds already.

--- a/src/sidecar/store_client.cpp
+++ b/src/sidecar/store_client.cpp
@@ -27,6 +27,9 @@
 /// The end of an outage is not announced, and entries must be restored within two seconds after it.
 constexpr duration max_retry_delay = milliseconds{700};
 
+/// Maximum size of an answer. A page of rows has 1 MB of values at most, which its encoding enlarges.
+constexpr std::uint64_t max_answer_bytes = 8UL * 1024 * 1024;
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_gone = 410;
 
@@ -112,7 +115,7 @@
     last_progress_ = clock_.now();
     input_.append(bytes);
     if (!reader_) {
-        reader_ = std::make_unique<response_reader>(read_limits{}, false);
+        reader_ = std::make_unique<response_reader>(read_limits{.body_bytes = max_answer_bytes}, false);
     }
     const auto status = reader_->feed(input_);
     if (status == read_status::need_more) {
--- a/tests/sidecar/endless_bytes_test.cpp
+++ b/tests/sidecar/endless_bytes_test.cpp
@@ -319,3 +319,31 @@
     clock.advance(60s);
     CHECK(run_until(loop, [&] { return client.ended(); }));
 }
+
+// Guards against an answer of the store taking more memory than the VM has.
+TEST_CASE("an answer of the store with a large body is rejected") {
+    boost::asio::io_context loop;
+    const endless_server server{loop, response_head + "Content-Length: 60000000\r\n\r\n",
+                                std::string(64UL * 1024, 'a')};
+    store_connection store{loop, server.address()};
+    std::optional<store_answer> answer;
+    store.call(platform_wire::read_rows("t", ""), 60s,
+               [&](store_answer value) { answer = std::move(value); });
+    REQUIRE(run_until(loop, [&] { return answer.has_value(); }));
+    CHECK(answer->status == 0);
+    CHECK(run_until(loop, [&] { return server.closed() == 1; }));
+    CHECK(server.sent() < 2 * socket_buffer_bytes);
+}
+
+// Holds already.
+TEST_CASE("an answer of the store without end is ended at its timeout") {
+    boost::asio::io_context loop;
+    const endless_server server{loop, response_head + chunked, sparse_chunk};
+    store_connection store{loop, server.address()};
+    std::optional<store_answer> answer;
+    store.call(platform_wire::read_rows("t", ""), 50ms,
+               [&](store_answer value) { answer = std::move(value); });
+    REQUIRE(run_until(loop, [&] { return answer.has_value(); }));
+    CHECK(answer->status == 0);
+    CHECK(run_until(loop, [&] { return server.closed() == 1; }));
+}
