--- a/src/mesh/membership.cpp
+++ b/src/mesh/membership.cpp
@@ -246,7 +246,7 @@
         if (entry.request && now - entry.request->since > fetch_timeout) {
             end_request(entry);
         }
-        std::erase_if(entry.announced, [&](const announcement& item) { return item.version <= known; });
+        std::erase_if(entry.announced, [&](const announcement& first) { return first.version <= known; });
         const auto waited = now - entry.announced.front().time;
         if (!entry.request && !entry.holders.empty() && waited >= store_timeout) {
             entry.request = {entry.holders.front().daemon, now};
