Check in the soak that running work is not given up

Two checks are new: a caller may not get 502 while a run of its request is at work at a backend server whose daemon and links were not killed or reset, and a connection may not end without the response to a request that has run, unless its process was killed. Routes have 3 s, so that a run may outlast the retirement of a silent link (1.9 s).

Only links that the other daemon dialed are silenced.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,6 +24,7 @@
 class Soak:
     def __init__(self, world, seed, seconds):
         self.world, self.random, self.seconds = world, random.Random(seed), seconds
+        self.silence_random = random.Random(f"silent links {seed}")
         self.stopping = False
         self.faults = []
 
@@ -33,7 +34,7 @@
         callers = [asyncio.create_task(self.run_caller(self.random.getrandbits(64))) for _ in range(CALLERS)]
         loop = asyncio.get_running_loop()
         end = loop.time() + self.seconds
-        running = []
+        running = [asyncio.create_task(self.stop_beside_silent_links())]
         while loop.time() < end:
             fault = self.random.choice(FAULTS)
             self.faults.append(fault.__name__)
@@ -91,7 +92,12 @@
             return False  # the caller disconnects
         process = daemon.process
         for request_id, size, version, known in sent:
-            start_line, headers, body = await asyncio.wait_for(read_message(reader), 30)
+            try:
+                start_line, headers, body = await asyncio.wait_for(read_message(reader), 30)
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+                world.ledger.check_unanswered(request_id, daemon.name, process.pid)
+                raise
+            world.ledger.check_given_up(request_id, int(start_line.split(" ")[1]), daemon.name)
             status = world.check_answer(request_id, service, size, start_line, headers, body)
             self.check_version(daemon, process, version, known, status)
             if headers.get("connection", "").lower() == "close":
@@ -188,6 +194,38 @@
     async def link_reset(self):
         for daemon in self.random_daemons():
             self.world.proxy.cut(daemon.name)
+            self.world.ledger.on_disturbed(daemon.name)
+
+    async def stop_beside_silent_links(self):
+        """Silences the links to a daemon one way while its backend server is at work, lets the other backend servers
+        of its service refuse, and stops daemons in series meanwhile. Runs once, with its own random numbers."""
+        rng = self.silence_random
+        await asyncio.sleep(rng.uniform(0, self.seconds / 2))
+        silent = rng.choice(self.world.daemons)
+        others = [daemon for daemon in self.world.daemons if daemon is not silent]
+        refusing = [daemon.backend for daemon in others if daemon.service == silent.service]
+        silent.backend.slow_factor = rng.choice([40, 70])
+        distant = [daemon for daemon in others if daemon.service != silent.service]
+        calls = [asyncio.create_task(self.world.call(rng.choice(distant), kind, silent.service, allowed_ms=2900))
+                 for kind in ["safe", "unsafe"] * 10]
+        await asyncio.sleep(0.05)
+        for backend in refusing:
+            backend.refusing = True
+        to_target, to_client = rng.choice([({"hold": True}, {}), ({}, {"hold": True})])
+        self.world.proxy.change(silent.name, to_target=to_target, to_client=to_client)
+        stops = asyncio.create_task(self.stop_in_turn(rng.sample(others, 2)))
+        await asyncio.sleep(rng.uniform(0.8, 2.2))
+        clear = {"delay_ms": 0, "hold": False}
+        self.world.proxy.change(silent.name, to_target=clear, to_client=clear)
+        await asyncio.sleep(0.3)
+        silent.backend.slow_factor = 1.0
+        for backend in refusing:
+            backend.refusing = False
+        await asyncio.gather(stops, *calls)
+
+    async def stop_in_turn(self, daemons):
+        for daemon in daemons:
+            await self.restart(daemon, signal.SIGTERM)
 
     async def backend_crash(self):
         backend = self.random.choice(self.world.daemons).backend
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -18,6 +18,7 @@
 NOT_RUN = {408, 421, 429, 503}  # statuses that guarantee that the request never runs
 MAX_ATTEMPTS = 2
 HEARTBEAT_S = 0.3
+CALL_DELAY_S = 0.1  # maximum time from sending a call to the start of its run, on links without faults
 WORK_S = 0.03  # execution time of a request at a backend server
 # The platform's specification allows new requests for at most this time after an acknowledged departure.
 DRAIN_S = 2.5
@@ -54,6 +55,9 @@
         self.violations = []
         self.served_versions = {}  # (daemon, process id) -> newest configuration version that it has served
         self.answers = {}  # status -> count
+        self.killed = set()  # (daemon, process id)
+        self.active = {}  # request id -> runs that are at work, as (backend, its id, start time)
+        self.disturbed = {}  # daemon -> last time at which it was killed or its links were reset
 
     def on_run(self, request_id):
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
@@ -63,6 +67,37 @@
         if request_id in self.not_run_statuses:
             self.violations.append(f"{request_id} ran after its caller had received {self.not_run_statuses[request_id]}")
 
+    def begin_run(self, request_id, backend):
+        self.on_run(request_id)
+        run = (backend, backend.id, time.monotonic())
+        self.active.setdefault(request_id, []).append(run)
+        return run
+
+    def end_run(self, request_id, run):
+        self.active[request_id].remove(run)
+
+    def on_disturbed(self, daemon):
+        """Call after the disturbance. A call sent before it may reach the backend server a little later."""
+        self.disturbed[daemon] = time.monotonic() + CALL_DELAY_S
+
+    def undisturbed_runs(self, request_id, daemon):
+        """Names of the backend servers that are at work on a request of `daemon`'s caller and can still answer it."""
+        return [backend.name for backend, id, started in self.active.get(request_id, [])
+                if backend.id == id and backend.server is not None
+                and max(self.disturbed.get(name, 0) for name in (daemon, backend.name)) < started]
+
+    def check_given_up(self, request_id, status, daemon):
+        """A request may not fail while its run is at work and its answer can still reach the daemon."""
+        if status == 502:
+            for backend in self.undisturbed_runs(request_id, daemon):
+                self.violations.append(f"{request_id} ({self.kinds.get(request_id)}) got 502 from {daemon} "
+                                       f"while {backend} was at work")
+
+    def check_unanswered(self, request_id, daemon, process_id):
+        """A connection may not end without the response to a request that has run, unless its process was killed."""
+        if self.runs.get(request_id, 0) > 0 and (daemon, process_id) not in self.killed:
+            self.violations.append(f"{request_id} ({self.kinds.get(request_id)}) ran and got no answer from {daemon}")
+
     def on_answer(self, request_id, status):
         self.answers[status] = self.answers.get(status, 0) + 1
         if status in NOT_RUN:
@@ -215,6 +250,7 @@
         self.announce_port = 0
         self.starts = 0
         self.slow_factor = 1.0
+        self.refusing = False
         self.task = None
 
     async def start(self):
@@ -241,16 +277,17 @@
         echo = {"X-Request-Id": request_id}
         if headers.get("x-expected-instance", self.id) != self.id:
             return message("HTTP/1.1 421 X", {**echo, "X-Not-Executed": "1"})
-        if self.running >= 2 * self.slots:
+        if self.refusing or self.running >= 2 * self.slots:
             return message("HTTP/1.1 503 X", {**echo, "X-Not-Executed": "1"})
         if self.departed_at is not None and time.monotonic() - self.departed_at > DRAIN_S:
             self.ledger.violations.append(f"{request_id} began at {self.id} after its departure")
-        self.ledger.on_run(request_id)
+        run = self.ledger.begin_run(request_id, self)
         self.running += 1
         try:
             await asyncio.sleep(WORK_S * self.slow_factor)
         finally:
             self.running -= 1
+            self.ledger.end_run(request_id, run)
         return message("HTTP/1.1 200 OK", {**echo, "X-Response-Signature": self.id},
                        f"{request_id} at {self.service} of {len(body)} bytes".encode())
 
@@ -323,7 +360,11 @@
 
     async def stop(self, signum, timeout_s=12):
         """Sends the signal and waits. Raises TimeoutError if the process runs longer than `timeout_s`."""
+        if signum == signal.SIGKILL and self.process is not None:
+            self.backend.ledger.killed.add((self.name, self.process.pid))
         self.signal(signum)
+        if signum == signal.SIGKILL:
+            self.backend.ledger.on_disturbed(self.name)
         if self.process is not None:
             await asyncio.wait_for(self.process.wait(), timeout_s)
 
@@ -345,7 +386,7 @@
         for kind, prefix in [*kinds.items(), ("safe", f"/v{version}/")]:
             resources.append({"ResourceType": "Routes", "Metadata": {"Name": f"{service}{prefix}"},
                               "Spec": {"Hostname": f"{service}.example", "Prefix": prefix, "RouteType": kind,
-                                       "Timeout": "2000ms", "TargetLatency": "300ms", "Service": service,
+                                       "Timeout": "3000ms", "TargetLatency": "300ms", "Service": service,
                                        "MaxAttempts": MAX_ATTEMPTS if kind == "safe" else 1}})
     return {"Version": f"r{version}", "Resources": resources}
 
@@ -404,9 +445,10 @@
             self.ledger.violations.append(f"{request_id} was refused without Retry-After")
         return status
 
-    async def call(self, daemon, kind, service, path=None, body=b"", timeout_s=30):
+    async def call(self, daemon, kind, service, path=None, body=b"", timeout_s=30, allowed_ms=2000):
         """Sends one request on a new connection; returns its status, or None without a complete response."""
-        request_id, data = self.make_request(kind, service, path, body)
+        request_id, data = self.make_request(kind, service, path, body, allowed_ms)
+        process = daemon.process
         try:
             reader, writer = await asyncio.open_connection(HOST, daemon.callers_port)
         except OSError:
@@ -414,11 +456,13 @@
         try:
             writer.write(data)
             answer = await asyncio.wait_for(read_message(reader), timeout_s)
+            self.ledger.check_given_up(request_id, int(answer[0].split(" ")[1]), daemon.name)
             return self.check_answer(request_id, service, len(body), *answer)
         except asyncio.TimeoutError:
             self.ledger.violations.append(f"{request_id} had no answer from {daemon.name} within {timeout_s} s")
             return None
         except (OSError, asyncio.IncompleteReadError):
+            self.ledger.check_unanswered(request_id, daemon.name, process.pid)
             return None
         finally:
             writer.close()
