Announce the operator's changes at once and ask near peers for them sooner

What callers saw: 404 on a route added seconds before, from daemons beside endpoints that receive uploads (CONFIG). Change: a daemon compares rows with two peers as soon as a row of the operator is applied, instead of up to 400 ms later, so that a late one learns of the change while the others get it. A peer in the same failure domain is asked after 300 ms also while the store's answer may be on its way; the longer wait exists for bytes between domains. Test: "a row is requested sooner from a peer in the same failure domain" could not pass before, there was one timeout. The tests of the long wait give it for both kinds of peers and keep their figures.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -222,9 +222,15 @@
     /// version or a newer one before.
     bool on_head(const store_row& head, const std::string& daemon, bool same_domain, const row_replica& rows,
                  time_point now);
-    /// Returns the requests to send now. A row is requested once a version of it has been missing for
-    /// `store_timeout`, whether or not the store delivers older versions meanwhile.
-    [[nodiscard]] std::vector<request> take_due(time_point now, duration store_timeout,
+    /// Time that the store has to deliver a missing row before it is requested from a peer.
+    struct store_timeouts {
+        duration same_domain{0};  ///< if a peer in the same failure domain has the row
+        duration other_domain{0}; ///< if only peers in other failure domains have it
+        friend auto operator<=>(const store_timeouts&, const store_timeouts&) = default;
+    };
+    /// Returns the requests to send now. A row is requested once a version of it has been missing for the
+    /// timeout, whether or not the store delivers older versions meanwhile.
+    [[nodiscard]] std::vector<request> take_due(time_point now, const store_timeouts& timeouts,
                                                 const row_replica& rows);
     /// Ends the request for `row` if `daemon` received it, and returns the time since the request.
     std::optional<duration> on_answer(const store_row& row, const std::string& daemon, time_point now);
--- a/src/mesh/membership.cpp
+++ b/src/mesh/membership.cpp
@@ -233,7 +233,7 @@
     return is_newer;
 }
 
-std::vector<missing_rows::request> missing_rows::take_due(time_point now, duration store_timeout,
+std::vector<missing_rows::request> missing_rows::take_due(time_point now, const store_timeouts& timeouts,
                                                           const row_replica& rows) {
     std::vector<request> result;
     for (auto item = rows_.begin(); item != rows_.end();) {
@@ -248,7 +248,10 @@
         }
         std::erase_if(entry.announced, [&](const announcement& first) { return first.version <= known; });
         const auto waited = now - entry.announced.front().time;
-        if (!entry.request && !entry.holders.empty() && waited >= store_timeout) {
+        const bool has_holder = !entry.holders.empty();
+        const bool is_near = has_holder && entry.holders.front().same_domain;
+        const auto timeout = is_near ? timeouts.same_domain : timeouts.other_domain;
+        if (!entry.request && has_holder && waited >= timeout) {
             entry.request = {entry.holders.front().daemon, now};
             result.push_back({entry.head, entry.request->daemon, waited});
         }
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -334,7 +334,7 @@
             missing_.on_unanswered(request.daemon);
         }
     }
-    for (const auto& request : missing_.take_due(now, callbacks_.fetch_delay(), rows_)) {
+    for (const auto& request : missing_.take_due(now, callbacks_.store_timeouts(), rows_)) {
         const auto* entry = find(request.daemon);
         if (entry != nullptr && entry->link) {
             log(event::row_requested,
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -35,7 +35,7 @@
         /// Heads of the rows that are replicated between all daemons.
         std::function<std::vector<mesh::store_row>()> heads;
         /// Time that the store has to deliver a row that peers hold before it is requested from a peer.
-        std::function<duration()> fetch_delay;
+        std::function<mesh::missing_rows::store_timeouts()> store_timeouts;
     };
     peer_set(boost::asio::io_context& loop, const clock_source& clock, const sidecar_settings& settings,
              counter_set& counters, endpoint_service& local, const mesh::row_replica& rows,
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -69,7 +69,7 @@
                                            const mesh::rollout_progress& progress) {
                                         rollouts_.on_progress(daemon, progress, clock_.now());
                                     },
-                                    [this] { return row_heads(); }, [this] { return fetch_delay(); }}},
+                                    [this] { return row_heads(); }, [this] { return store_timeouts(); }}},
       forwarder_{clock, counters_, settings_, local_, peers_, rollouts_},
       callers_{loop, clock, settings_.callers_address,
                [this](const std::shared_ptr<exchange>& request) { forwarder_.handle(request); }},
@@ -209,7 +209,7 @@
     if (!rows_.apply(row)) {
         return;
     }
-    on_row_update(clock_.now());
+    on_row_update(row, clock_.now());
     try {
         if (row.table == platform_wire::operator_table) {
             on_operator_row(row);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -39,8 +39,8 @@
     void advance_rollouts(time_point now);
     void send_evidence(const std::string& service);
     void on_peer_row(const mesh::store_row& row);
-    [[nodiscard]] duration fetch_delay() const;
-    void on_row_update(time_point now);
+    [[nodiscard]] mesh::missing_rows::store_timeouts store_timeouts() const;
+    void on_row_update(const mesh::store_row& row, time_point now);
     void compare_rows(time_point now);
     void log_summary(time_point now);
     void remove_expired(time_point now);
--- a/src/sidecar/sidecar_moves.cpp
+++ b/src/sidecar/sidecar_moves.cpp
@@ -17,8 +17,8 @@
 constexpr duration comparison_interval = milliseconds{400};
 constexpr duration idle_comparison_interval = std::chrono::seconds{3};
 constexpr duration comparison_after_update = std::chrono::seconds{4};
-/// Rows are large and cross failure domains, so a peer is asked only after the store had time to deliver the
-/// row. Changes must be active on all daemons within two seconds.
+/// A peer is asked only after the store had time to deliver the row; in another failure domain also after the
+/// pause between two watches, since rows are large. Changes must be active on all daemons within two seconds.
 constexpr duration fetch_delay_watching = milliseconds{300};
 constexpr duration fetch_delay_delivering = milliseconds{950};
 /// Timeout for the first answer of the store after the start. The answer may be queued behind those to other
@@ -135,21 +135,22 @@
 }
 
 /// An available store delivers a change immediately, or with the answer after the pause between two watches.
-duration sidecar::fetch_delay() const {
+mesh::missing_rows::store_timeouts sidecar::store_timeouts() const {
     const bool just_started = clock_.now() - started_ < first_answer_timeout;
-    if (!store_available_ && !just_started) {
-        return duration{0};
-    }
     if (!store_available_) {
-        return fetch_delay_delivering;
+        const auto delay = just_started ? fetch_delay_delivering : duration{0};
+        return {delay, delay};
     }
-    return operator_rows_.is_delivering() ? fetch_delay_delivering : fetch_delay_watching;
+    return {fetch_delay_watching,
+            operator_rows_.is_delivering() ? fetch_delay_delivering : fetch_delay_watching};
 }
 
-/// Schedules the next comparison soon, even after a long time without changes.
-void sidecar::on_row_update(time_point now) {
+/// Schedules the next comparison, even after a long time without changes. The operator's changes are
+/// announced at once: a daemon that gets them late from the store learns of them only in this way.
+void sidecar::on_row_update(const mesh::store_row& row, time_point now) {
     last_row_update_ = now;
-    next_comparison_ = std::min(next_comparison_, now + comparison_interval);
+    const bool is_urgent = row.table == platform_wire::operator_table;
+    next_comparison_ = is_urgent ? now : std::min(next_comparison_, now + comparison_interval);
 }
 
 void sidecar::compare_rows(time_point now) {
--- a/tests/mesh/membership_test.cpp
+++ b/tests/mesh/membership_test.cpp
@@ -107,6 +107,9 @@
 
 namespace {
 
+constexpr missing_rows::store_timeouts impatient{0ms, 0ms};
+constexpr missing_rows::store_timeouts patient{950ms, 950ms};
+
 store_row head_of(std::uint64_t version) {
     return {"op", "config", "", version, false};
 }
@@ -121,14 +124,14 @@
     for (std::uint64_t version = 1; version <= 10; ++version) {
         const auto now = start + milliseconds{700} * static_cast<int>(version);
         missing.on_head(head_of(version), "far", false, rows, now);
-        CHECK(missing.take_due(now, milliseconds{950}, rows).empty());
+        CHECK(missing.take_due(now, patient, rows).empty());
         (void)rows.apply(head_of(version - 1)); // the store is one change behind
     }
     // Then the store stalls: the row is requested from the peer, although the peer reports later changes.
     const auto stalled_at = start + milliseconds{700} * 11;
-    CHECK(missing.take_due(stalled_at, milliseconds{950}, rows).empty());
+    CHECK(missing.take_due(stalled_at, patient, rows).empty());
     missing.on_head(head_of(11), "far", false, rows, stalled_at + milliseconds{500});
-    const auto requests = missing.take_due(stalled_at + milliseconds{960}, milliseconds{950}, rows);
+    const auto requests = missing.take_due(stalled_at + milliseconds{960}, patient, rows);
     CHECK(requests == std::vector<missing_rows::request>{{head_of(11), "far", 1660ms}});
 }
 
@@ -137,12 +140,12 @@
     missing_rows missing;
     missing.on_head(head_of(3), "far", false, rows, start);
     missing.on_head(head_of(3), "near", true, rows, start);
-    const auto requests = missing.take_due(start, duration{0}, rows);
+    const auto requests = missing.take_due(start, impatient, rows);
     CHECK(requests == std::vector<missing_rows::request>{{head_of(3), "near", 0ms}});
-    CHECK(missing.take_due(start + milliseconds{100}, duration{0}, rows).empty());
-    CHECK(missing.take_due(start + milliseconds{600}, duration{0}, rows).empty());
+    CHECK(missing.take_due(start + milliseconds{100}, impatient, rows).empty());
+    CHECK(missing.take_due(start + milliseconds{600}, impatient, rows).empty());
     missing.on_unanswered("near"); // its link is down or silent
-    const auto repeated = missing.take_due(start + milliseconds{700}, duration{0}, rows);
+    const auto repeated = missing.take_due(start + milliseconds{700}, impatient, rows);
     CHECK(repeated == std::vector<missing_rows::request>{{head_of(3), "far", 700ms}});
 }
 
@@ -152,14 +155,14 @@
     row_replica rows;
     missing_rows missing;
     missing.on_head(head_of(3), "near", true, rows, start);
-    REQUIRE(missing.take_due(start, 0ms, rows).size() == 1);
+    REQUIRE(missing.take_due(start, impatient, rows).size() == 1);
     missing.on_head(head_of(3), "other", true, rows, start + 400ms);
-    CHECK(missing.take_due(start + 600ms, 0ms, rows).empty());
+    CHECK(missing.take_due(start + 600ms, impatient, rows).empty());
     missing.on_head(head_of(3), "other", true, rows, start + 800ms);
-    CHECK(missing.take_due(start + 1600ms, 0ms, rows).empty());
+    CHECK(missing.take_due(start + 1600ms, impatient, rows).empty());
     // The bound for a row that never arrives.
     missing.on_head(head_of(3), "other", true, rows, start + 1900ms);
-    const auto repeated = missing.take_due(start + 2100ms, 0ms, rows);
+    const auto repeated = missing.take_due(start + 2100ms, impatient, rows);
     REQUIRE(repeated.size() == 1);
     CHECK(repeated.front().daemon == "other");
 }
@@ -174,8 +177,25 @@
         const auto now = start + 400ms * static_cast<int>(version);
         (void)rows.apply(head_of(version));
         missing.on_head(head_of(version + behind), "near", true, rows, now);
-        requests = missing.take_due(now, 950ms, rows);
+        requests = missing.take_due(now, patient, rows);
     }
     // Version 6 was reported first, at 400 ms. Version 5 was delivered at 2000 ms.
     CHECK(requests == std::vector<missing_rows::request>{{head_of(9), "near", 1200ms}});
 }
+
+// Guards against a daemon on a slow link that waits for the store's answer although a peer in its failure
+// domain, where bytes cost little, has the row.
+TEST_CASE("a row is requested sooner from a peer in the same failure domain") {
+    const missing_rows::store_timeouts timeouts{300ms, 950ms};
+    row_replica rows;
+    missing_rows missing;
+    missing.on_head(head_of(3), "far", false, rows, start);
+    CHECK(missing.take_due(start + 400ms, timeouts, rows).empty());
+    missing.on_head(head_of(3), "near", true, rows, start + 500ms);
+    const auto requests = missing.take_due(start + 500ms, timeouts, rows);
+    CHECK(requests == std::vector<missing_rows::request>{{head_of(3), "near", 500ms}});
+    missing_rows only_far;
+    only_far.on_head(head_of(3), "far", false, rows, start);
+    CHECK(only_far.take_due(start + 900ms, timeouts, rows).empty());
+    CHECK(only_far.take_due(start + 950ms, timeouts, rows).front().daemon == "far");
+}
