Remember a near holder of a row in place of a distant one

Four daemons with a missing row were remembered, the first that reported it. With three failure domains the four were often all distant, so the row was asked for late and across domains although a near daemon had it. Test: "a near daemon replaces a distant one among the remembered holders of a row" failed before.

--- a/src/mesh/membership.cpp
+++ b/src/mesh/membership.cpp
@@ -201,9 +201,15 @@
 void missing_rows::missing::add_holder(const std::string& daemon, bool same_domain) {
     const bool present = std::any_of(holders.begin(), holders.end(),
                                      [&](const holder& entry) { return entry.daemon == daemon; });
-    if (present || holders.size() >= max_holders) {
+    if (present) {
         return;
     }
+    if (holders.size() >= max_holders) {
+        if (!same_domain || holders.back().same_domain) {
+            return;
+        }
+        holders.pop_back();
+    }
     const auto first_far =
         std::find_if(holders.begin(), holders.end(), [](const holder& entry) { return !entry.same_domain; });
     holders.insert(same_domain ? first_far : holders.end(), {daemon, same_domain});
--- a/tests/mesh/membership_test.cpp
+++ b/tests/mesh/membership_test.cpp
@@ -199,3 +199,14 @@
     CHECK(only_far.take_due(start + 900ms, timeouts, rows).empty());
     CHECK(only_far.take_due(start + 950ms, timeouts, rows).front().daemon == "far");
 }
+
+// Guards against forgetting the only near daemon with a row because some distant ones reported it first.
+TEST_CASE("a near daemon replaces a distant one among the remembered holders of a row") {
+    row_replica rows;
+    missing_rows missing;
+    for (int i = 0; i < 8; ++i) {
+        missing.on_head(head_of(3), "far" + std::to_string(i), false, rows, start);
+    }
+    missing.on_head(head_of(3), "near", true, rows, start);
+    CHECK(missing.take_due(start, impatient, rows).front().daemon == "near");
+}
