--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -15,8 +15,8 @@
 constexpr duration ping_after_idle = milliseconds{5000};
 /// A link whose ping is unanswered for this long is suspect and avoided for new requests.
 constexpr duration suspect_timeout = milliseconds{250};
-/// A link whose ping is unanswered for this long is retired. TCP retransmits lost packets after 200 to 400
-/// ms, so the timeout allows for two consecutive retransmissions.
+/// A link whose ping is unanswered for this long is retired. TCP retransmits lost packets after 200 to
+/// 400 ms, so the timeout allows for two consecutive retransmissions.
 constexpr duration retire_timeout = milliseconds{1500};
 /// Time for which a retired link stays open without calls. The other daemon may have sent a call before it
 /// learned of the new link, and the last reply may still be on its way.
--- a/tests/sidecar/endless_bytes_test.cpp
+++ b/tests/sidecar/endless_bytes_test.cpp
@@ -95,7 +95,7 @@
 
 } // namespace
 
-// Holds already: Beast rejects a start line or a field that exceeds the header limit.
+// Guards against buffering a start line or a field that never ends.
 TEST_CASE("a start line or header field without end is rejected") {
     for (const std::string piece : {"a", "aaaaaaa"}) {
         CHECK(read_without_end<response_reader>("HTTP/1.1 200 ", piece) == read_status::header_too_large);
@@ -106,7 +106,7 @@
     }
 }
 
-// Holds already: an empty line is no start line.
+// Guards against reading empty lines without end while waiting for a start line.
 TEST_CASE("empty lines before the start line are rejected") {
     CHECK(read_without_end<response_reader>({}, "\r\n") == read_status::malformed);
     CHECK(read_without_end<request_reader>({}, "\r\n") == read_status::malformed);
@@ -140,7 +140,7 @@
     }
 }
 
-// Holds already: Beast applies the body limit to all three framings.
+// Guards against a body limit that applies to some kinds of framing only.
 TEST_CASE("a body beyond the limit is rejected") {
     const std::string too_long = "Content-Length: 18446744073709551615\r\n\r\n";
     const std::string chunk = "400\r\n" + std::string(0x400, 'a') + "\r\n";
@@ -154,7 +154,7 @@
           read_status::body_too_large);
 }
 
-// Holds already, for all parts of a response that no limit of bytes ends.
+// Guards against a response that no limit of bytes ends and that holds its request beyond the deadline.
 TEST_CASE("a response without end is ended at the deadline of its request") {
     boost::asio::io_context loop;
     const endless_server server{loop, response_head + chunked, sparse_chunk};
@@ -282,7 +282,7 @@
     CHECK(f.client.buffered_bytes() == 0);
 }
 
-// Holds already.
+// Guards against reading bytes without end on an idle connection.
 TEST_CASE("bytes without end after a complete response close the connection") {
     boost::asio::io_context loop;
     const endless_server server{loop, response_head + "X-Request-Id: 1\r\nContent-Length: 2\r\n\r\nok",
@@ -336,7 +336,7 @@
     CHECK(server.sent() < 2 * socket_buffer_bytes);
 }
 
-// Holds already.
+// Guards against an answer of the store that never ends and blocks the calls behind it.
 TEST_CASE("an answer of the store without end is ended at its timeout") {
     boost::asio::io_context loop;
     const endless_server server{loop, response_head + chunked, sparse_chunk};
--- a/tests/sidecar/http_server_test.cpp
+++ b/tests/sidecar/http_server_test.cpp
@@ -100,8 +100,8 @@
     CHECK(run_until(f.loop, [&] { return idle.ended(); }));
 }
 
-// Guards against cutting a long response on a slow connection: one that ends after its response was closed 1
-// s after the response was queued.
+// Guards against cutting a long response on a slow connection: a connection that ends after its response was
+// closed one second after the response was queued.
 TEST_CASE("a connection that ends after its response is not closed while the response is being sent") {
     constexpr std::size_t body_bytes = 32UL * 1024 * 1024;
     fixture f;
