--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -12,6 +12,10 @@
 # Each seed that failed is added here with its cause and kept.
 REGRESSIONS = [
     4181432226,  # fault of the check: a response from before a change was read after one from behind it
+    # Fault of the check: the run of a call sent just before a reset of its link counted as begun after it.
+    3378453554,
+    3953646093,
+    3883822215,
 ]
 SEEDS = [1, 2, *REGRESSIONS]
 
