Keep an unexpected exception from ending the process

Cause: main caught endive::error only, and handlers threw into the event loop: one std::bad_alloc or any other exception in the handling of one connection, request or answer of the store ended the daemon with all its requests. Change: run_guarded runs the handler of one event; an exception ends that event with a log line (unexpected_exception) and a counter. A request whose handler throws gets 500, a connection whose data handler throws is closed, the queue of store calls goes on, and the loop is entered again.

--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -50,6 +50,7 @@
     call_failed,
     accept_failed,
     summary,
+    unexpected_exception,
 };
 
 struct event_entry {
--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -1,6 +1,6 @@
 #include "sidecar/http_server.h"
 
-#include "sidecar/events.h"
+#include "sidecar/guard.h"
 
 #include <algorithm>
 
@@ -25,6 +25,7 @@
 constexpr duration draining_idle_timeout = milliseconds{300};
 
 constexpr unsigned status_request_timeout = 408;
+constexpr unsigned status_internal_error = 500;
 
 bool is_safe_method(std::string_view method) {
     return method == "GET" || method == "HEAD";
@@ -177,7 +178,9 @@
                                                       server_->clock_.now());
             reader_.reset();
             pending_.push_back({started, std::nullopt});
-            server_->handler_(started);
+            if (!run_guarded("request", [&] { server_->handler_(started); }) && !started->finished()) {
+                started->respond(own_response(status_internal_error, "internal error\n"));
+            }
         }
     }
 
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -2,7 +2,7 @@
 
 #include "sidecar/sidecar.h"
 
-#include "sidecar/events.h"
+#include "sidecar/guard.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -57,7 +57,9 @@
     };
     reload_signal.async_wait(reload);
     daemon.start();
-    loop.run();
+    // The loop can be run again after an exception has left it.
+    while (!endive::sidecar::run_guarded("event", [&] { loop.run(); })) {
+    }
 }
 
 } // namespace
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -1,6 +1,6 @@
 #include "sidecar/sidecar.h"
 
-#include "sidecar/events.h"
+#include "sidecar/guard.h"
 #include "sidecar/own_rows.h"
 
 #include <algorithm>
@@ -194,6 +194,7 @@
     }
     const auto load = local_.load();
     out << "endive_endpoint_outstanding " << load.outstanding << "\n";
+    out << "endive_unexpected_exceptions_total " << caught_exceptions() << "\n";
     out << "endive_peer_links " << peers_.link_count() << "\n";
     for (const double quantile : {0.5, 0.9, 0.99}) {
         out << "endive_request_seconds{quantile=\"" << quantile << "\"} "
@@ -429,14 +430,14 @@
 
 void sidecar::tick() {
     const auto now = clock_.now();
-    forwarder_.tick(now);
-    local_.tick(now);
+    run_guarded("deadlines of requests", [&] { forwarder_.tick(now); });
+    run_guarded("deadlines of calls", [&] { local_.tick(now); });
     if (now >= next_slow_tick_) {
         next_slow_tick_ = now + slow_tick_interval;
-        slow_tick(now);
+        run_guarded("periodic work", [&] { slow_tick(now); });
     }
     if (stopping_since_) {
-        finish_stop(now);
+        run_guarded("stop", [&] { finish_stop(now); });
     }
     timer_.expires_after(tick_interval);
     timer_.async_wait([this](error_code code) {
--- a/src/sidecar/store_client.cpp
+++ b/src/sidecar/store_client.cpp
@@ -1,6 +1,6 @@
 #include "sidecar/store_client.h"
 
-#include "sidecar/events.h"
+#include "sidecar/guard.h"
 
 #include <algorithm>
 
@@ -140,7 +140,7 @@
         connection_->close();
         connection_.reset();
     }
-    done(std::move(answer));
+    run_guarded("answer of the store", [&] { done(answer); });
     next();
 }
 
--- a/src/sidecar/stream.cpp
+++ b/src/sidecar/stream.cpp
@@ -1,6 +1,6 @@
 #include "sidecar/stream.h"
 
-#include "sidecar/events.h"
+#include "sidecar/guard.h"
 
 #include "endive/base.h"
 
@@ -86,7 +86,10 @@
     }
     if (on_data_) {
         const auto handler = on_data_; // `close` inside the handler resets the member
-        handler({buffer.data(), size});
+        if (!run_guarded("received data", [&] { handler({buffer.data(), size}); })) {
+            end(stream_end::failed);
+            return;
+        }
     }
     wait_readable();
 }
@@ -167,7 +170,7 @@
     const auto handler = on_end_;
     close();
     if (handler) {
-        handler(how);
+        run_guarded("end of a connection", [&] { handler(how); });
     }
 }
 
