Bind a departure to the endpoint's start, and order restarts across clock steps

Cause: after a restart of a daemon a departure that its peers or the store reported was bound to start 0, so a heartbeat that had been delayed in the network revoked it and the departed endpoint was used again. And a daemon that restarted while its clock was set back announced a start earlier than the one its peers knew: they kept the old record and the old link. Change: reported departures carry the start of the endpoint and bind also before the endpoint is known; only a later start ends them. A peer that sees a record older than the known one answers with that, and the daemon moves its start behind it.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -136,8 +136,10 @@
     /// A health check identified the endpoint. Takes effect only while the endpoint is absent, such as before
     /// its first heartbeat.
     void on_health(std::string_view endpoint_id, bool healthy, std::uint32_t slots);
-    /// Another daemon or the store reports that the endpoint `endpoint_id` has left or is leaving.
-    void on_reported_departure(std::string_view endpoint_id);
+    /// Another daemon or the store reports that the endpoint `endpoint_id` that started at `start_unix_ms`
+    /// has left or is leaving. Binds also when the endpoint is not known yet: its delayed heartbeats may
+    /// still arrive.
+    void on_reported_departure(std::string_view endpoint_id, std::int64_t start_unix_ms);
     /// The endpoint stopped accepting connections. It is absent until its next heartbeat.
     void on_unreachable();
     /// Marks the endpoint absent when no heartbeat has arrived within `heartbeat_timeout`; true when this
@@ -172,7 +174,8 @@
     std::uint32_t slots = 1;
     endpoint_state state = endpoint_state::absent;
     std::int64_t endpoint_start_unix_ms = 0;
-    bool stopping = false; ///< the daemon shuts down
+    bool stopping = false;      ///< the daemon shuts down
+    std::int64_t link_mbps = 0; ///< bandwidth of the VM's network link; 0 when unknown
     friend auto operator<=>(const member&, const member&) = default;
 };
 [[nodiscard]] std::string encode(const member& value);
--- a/src/mesh/membership.cpp
+++ b/src/mesh/membership.cpp
@@ -107,10 +107,10 @@
     }
 }
 
-void endpoint_tracker::on_reported_departure(std::string_view endpoint_id) {
-    departed_.try_emplace(std::string{endpoint_id},
-                          current_.endpoint_id == endpoint_id ? current_.start_unix_ms : 0);
-    if (current_.endpoint_id == endpoint_id) {
+void endpoint_tracker::on_reported_departure(std::string_view endpoint_id, std::int64_t start_unix_ms) {
+    auto& departed = departed_.try_emplace(std::string{endpoint_id}, start_unix_ms).first->second;
+    departed = std::max(departed, start_unix_ms);
+    if (current_.endpoint_id == endpoint_id && current_.start_unix_ms <= start_unix_ms) {
         set_state(endpoint_state::draining);
     }
 }
@@ -141,7 +141,8 @@
                 {"slots", value.slots},
                 {"state", text_of(value.state)},
                 {"born", value.endpoint_start_unix_ms},
-                {"stopping", value.stopping}}
+                {"stopping", value.stopping},
+                {"link_mbps", value.link_mbps}}
         .dump();
 }
 
@@ -161,6 +162,7 @@
         result.state = parse_state(object.at("state").get<std::string>());
         object.at("born").get_to(result.endpoint_start_unix_ms);
         object.at("stopping").get_to(result.stopping);
+        result.link_mbps = object.value("link_mbps", result.link_mbps); // absent in rows of earlier versions
         return result;
     } catch (const json::exception& cause) {
         throw error{result_code::platform_bad_answer, std::string{"member: "} + cause.what()};
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -177,7 +177,6 @@
             link->close();
             return;
         }
-        link->set_daemon(message.members.front());
         const bool same = message.members.front().failure_domain == self_.failure_domain;
         link->count_bytes(counters_, same ? "peer_bytes_in_domain_" : "peer_bytes_between_domains_");
     }
@@ -186,7 +185,31 @@
     }
     auto* entry = find(link->daemon());
     const bool is_better =
-        entry != nullptr && (!entry->link || (is_new && entry->link->daemon_start() <= link->daemon_start()));
+/// Takes the identity of the daemon at the other end from its own member record; true when that is new. A
+/// daemon whose record is older than a known one has restarted while its clock was set back: it is told what
+/// is known of it, so that it continues from there.
+bool peer_set::identify(peer_link& link, const std::vector<mesh::member>& members) {
+    const auto own = std::find_if(members.begin(), members.end(), [&](const mesh::member& about) {
+        return link.daemon().empty() || about.daemon == link.daemon();
+    });
+    if (own == members.end()) {
+        return false;
+    }
+    const bool is_new = link.daemon().empty() || own->daemon_start_unix_ms > link.daemon_start();
+    if (is_new) {
+        link.set_daemon(*own);
+    }
+    const auto* known = find(own->daemon);
+    if (known != nullptr && known->about.daemon_start_unix_ms > own->daemon_start_unix_ms) {
+        announce_message correction;
+        correction.members.push_back(known->about);
+        link.send(correction);
+    }
+    return is_new;
+}
+
+        entry != nullptr &&
+        (!entry->link || (is_restarted && entry->link->daemon_start() <= link->daemon_start()));
     if (is_better && !link->is_retired()) {
         // A daemon that has retired a link opens a new one, while the retired one may look usable from here.
         const bool was_down = !entry->link;
@@ -197,6 +220,7 @@
             log(event::peer_up, {{"peer", link->daemon()}});
         }
         close_links_before(*link);
+    const bool is_restarted = identify(*link, message.members);
     }
     if (message.load) {
         on_load(link, *message.load);
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -86,6 +86,7 @@
     void record_missing(const std::string& daemon, const std::vector<mesh::store_row>& heads);
     void fetch_missing(time_point now);
 
+    bool identify(peer_link& link, const std::vector<mesh::member>& members);
     boost::asio::io_context& loop_;
     const clock_source& clock_;
     counter_set& counters_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -291,15 +291,26 @@
     }
 }
 
-/// Handles a member update. A record of this daemon with an earlier start time was written before its
-/// restart.
+/// Handles a member update. A record of this daemon was written before its restart. If it has a later start
+/// time, the clock was set back meanwhile, and the start is moved behind it so that peers take this start for
+/// the newer one.
 void sidecar::on_member_update(const mesh::member& about) {
-    if (about.daemon != self_.daemon || about.daemon_start_unix_ms >= self_.daemon_start_unix_ms) {
+    if (about.daemon != self_.daemon) {
+        return;
+    }
+    const bool is_own =
+        about.daemon_start_unix_ms == self_.daemon_start_unix_ms && about.revision <= self_.revision;
+    if (is_own) {
         return;
     }
     if (about.state == mesh::endpoint_state::draining && !about.endpoint_id.empty()) {
-        local_.update(
-            [&](mesh::endpoint_tracker& tracker) { tracker.on_reported_departure(about.endpoint_id); });
+        local_.update([&](mesh::endpoint_tracker& tracker) {
+            tracker.on_reported_departure(about.endpoint_id, about.endpoint_start_unix_ms);
+        });
+    }
+    if (about.daemon_start_unix_ms >= self_.daemon_start_unix_ms) {
+        self_.daemon_start_unix_ms = about.daemon_start_unix_ms + 1;
+        publish_self();
     }
 }
 
--- a/tests/mesh/membership_test.cpp
+++ b/tests/mesh/membership_test.cpp
@@ -75,13 +75,26 @@
 
 TEST_CASE("a departure acknowledged before a restart of the daemon stays in effect") {
     auto endpoint = tracker();
-    endpoint.on_reported_departure("i-1");
+    endpoint.on_reported_departure("i-1", 1000);
     endpoint.on_health("i-1", true, 12);
     CHECK_FALSE(endpoint.is_ready());
     endpoint.on_health("i-2", true, 12);
     CHECK(endpoint.is_ready());
 }
 
+// Guards against an endpoint that is used again after a restart of its daemon: a heartbeat that was sent
+// before the departure arrives after the restart.
+TEST_CASE("a delayed heartbeat does not revoke a departure from before a restart") {
+    auto endpoint = tracker();
+    endpoint.on_reported_departure("i-1", 1000);
+    CHECK(endpoint.on_heartbeat(beat("i-1", 1000, 7), start));
+    CHECK_FALSE(endpoint.is_ready());
+    CHECK(endpoint.on_heartbeat(beat("i-1", 2000, 1), start + 1s));
+    CHECK(endpoint.is_ready());
+    endpoint.on_reported_departure("i-1", 1000); // an old report about an earlier start
+    CHECK(endpoint.is_ready());
+}
+
 TEST_CASE("the newer of two members has the greater start and revision") {
     member older{"d", 10, 5, "a", "z", "s", "i", "v", 12, endpoint_state::ready, 1, false};
     auto newer = older;
