--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -266,6 +266,81 @@
     std::map<std::pair<std::string, std::string>, missing> rows_;
 };
 
+/// Maximum size of a row's value.
+inline constexpr std::size_t max_row_bytes = 4UL * 1024 * 1024;
+
+/// Changes a row from one version to another.
+struct row_delta {
+    /// Appends a part of the base's value, then `text`.
+    struct step {
+        std::uint32_t offset = 0;
+        std::uint32_t length = 0;
+        std::string text;
+        friend auto operator<=>(const step&, const step&) = default;
+    };
+    std::string table;
+    std::string key;
+    std::uint64_t base_version = 0;
+    std::uint64_t version = 0;
+    std::uint64_t checksum = 0; ///< of the resulting value
+    std::vector<step> steps;
+    friend auto operator<=>(const row_delta&, const row_delta&) = default;
+    /// Approximate size in bytes when encoded.
+    [[nodiscard]] std::size_t size() const;
+};
+/// Thread safe.
+[[nodiscard]] row_delta make_delta(const store_row& base, const store_row& row);
+/// Empty when `delta` does not apply to `base`: it has another version or the result fails the checksum.
+/// Thread safe.
+[[nodiscard]] std::optional<store_row> apply_delta(const store_row& base, const row_delta& delta);
+
+/// The latest changes of each row, so that a peer with an earlier version need not receive the whole value.
+class row_changes {
+public:
+    /// Records the change from `base` to `row` and returns its delta; null when the values differ too much.
+    /// The pointer is valid until the next call.
+    const row_delta* record(const store_row& base, const store_row& row);
+    /// Records a delta that leads to a value of `value_size` bytes.
+    const row_delta* record(row_delta delta, std::size_t value_size);
+    /// The deltas that lead from the version of `head` to the newest one, in order; empty when unknown.
+    [[nodiscard]] std::vector<row_delta> since(const store_row& head) const;
+
+private:
+    std::map<std::pair<std::string, std::string>, std::vector<row_delta>> rows_;
+};
+
+/// A daemon that may read the store for its failure domain.
+struct reader_candidate {
+    std::string daemon;
+    std::int64_t link_mbps = 0;
+    friend auto operator<=>(const reader_candidate&, const reader_candidate&) = default;
+};
+
+/// Decides whether this daemon watches the store. A few readers in each failure domain do and pass changes
+/// on; the others receive them over their links. The readers are the daemons with the fastest links, in a
+/// stable order, so daemons that know the same members agree on them without an election. When all readers of
+/// the domain fall silent, the next daemons in that order read as well, one after the other.
+class reader_election {
+public:
+    /// Silence of the readers counts from here.
+    void start(time_point now);
+    /// `daemon`, in the same failure domain, reports whether its reads of the store succeed.
+    void on_report(const std::string& daemon, bool reading, time_point now);
+    /// A read of this daemon succeeded or failed.
+    void on_own_read(bool succeeded, time_point now);
+    /// True while `self` should watch the store. `others` are the daemons in the same failure domain with a
+    /// link, without those that are stopping; `domains` is the number of failure domains known.
+    [[nodiscard]] bool should_read(const reader_candidate& self, std::span<const reader_candidate> others,
+                                   std::size_t domains, bool has_configuration, time_point now);
+
+private:
+    time_point last_report_{};
+    std::map<std::string, time_point>
+        failures_; ///< other daemons whose last report was a failure, and its time
+    std::optional<time_point> own_failure_;
+    std::optional<time_point> needed_; ///< when reading was last necessary
+};
+
 // ---- choice of an endpoint --------------------------------------------------------------------------------
 
 /// Assumed service time of an endpoint before its first response, as a multiple of the latency target.
--- a/src/sidecar/messages.cpp
+++ b/src/sidecar/messages.cpp
@@ -2,12 +2,17 @@
 
 #include "sidecar/generated/mesh_generated.h"
 
+#include <cstring>
+
 namespace endive::sidecar {
 namespace {
 
 namespace wire = endive::mesh::wire;
 using builder = flatbuffers::FlatBufferBuilder;
 
+/// Maximum total size of the decompressed rows of one announcement.
+constexpr std::uint64_t max_announced_bytes = 4 * max_unpacked_bytes;
+
 struct payload_offset {
     wire::payload type;
     flatbuffers::Offset<void> value;
@@ -94,7 +99,33 @@
 
 payload_offset encode(builder& out, const fetch_message& value) {
     const auto rows = encode_rows(out, value.rows);
-    return {wire::payload::fetch, wire::Createfetch(out, rows, value.accepts_packed).Union()};
+    const auto known = encode_rows(out, value.known);
+    return {wire::payload::fetch, wire::Createfetch(out, rows, value.accepts_packed, known).Union()};
+}
+
+auto encode_deltas(builder& out, const std::vector<mesh::row_delta>& deltas) {
+    std::vector<flatbuffers::Offset<wire::row_delta>> entries;
+    entries.reserve(deltas.size());
+    for (const auto& delta : deltas) {
+        std::vector<flatbuffers::Offset<wire::delta_step>> steps;
+        steps.reserve(delta.steps.size());
+        for (const auto& step : delta.steps) {
+            steps.push_back(
+                wire::Createdelta_step(out, step.offset, step.length, out.CreateString(step.text)));
+        }
+        const auto table = out.CreateString(delta.table);
+        const auto key = out.CreateString(delta.key);
+        entries.push_back(wire::Createrow_delta(out, table, key, delta.base_version, delta.version,
+                                                delta.checksum, out.CreateVector(steps)));
+    }
+    return out.CreateVector(entries);
+}
+
+wire::store_reading encode_reading(const std::optional<bool>& reading) {
+    if (!reading) {
+        return wire::store_reading::none;
+    }
+    return *reading ? wire::store_reading::succeeded : wire::store_reading::failed;
 }
 
 payload_offset encode(builder& out, const announce_message& value) {
@@ -123,9 +154,11 @@
     }
     const auto moves_offset = out.CreateVector(moves);
     const auto packed_rows = encode_packed_rows(out, value.packed_rows);
-    return {wire::payload::announce, wire::Createannounce(out, members_offset, rows, heads, load,
-                                                          counters_offset, moves_offset, packed_rows)
-                                         .Union()};
+    const auto deltas = encode_deltas(out, value.deltas);
+    return {wire::payload::announce,
+            wire::Createannounce(out, members_offset, rows, heads, load, counters_offset, moves_offset,
+                                 packed_rows, deltas, encode_reading(value.reading))
+                .Union()};
 }
 
 payload_offset encode(builder& out, const ping_message& value) {
@@ -207,6 +240,30 @@
     return result;
 }
 
+std::vector<mesh::row_delta>
+decode_deltas(const flatbuffers::Vector<flatbuffers::Offset<wire::row_delta>>* deltas) {
+    std::vector<mesh::row_delta> result;
+    if (deltas == nullptr) {
+        return result;
+    }
+    for (const auto* entry : *deltas) {
+        mesh::row_delta delta{text_of(entry->table_name()),
+                              text_of(entry->key()),
+                              entry->base_version(),
+                              entry->version(),
+                              entry->checksum(),
+                              {}};
+        if (entry->steps() != nullptr) {
+            delta.steps.reserve(entry->steps()->size());
+            for (const auto* step : *entry->steps()) {
+                delta.steps.push_back({step->offset(), step->length(), text_of(step->text())});
+            }
+        }
+        result.push_back(std::move(delta));
+    }
+    return result;
+}
+
 announce_message decode(const wire::announce& value) {
     announce_message result;
     if (value.members() != nullptr) {
@@ -216,7 +273,12 @@
     }
     result.rows = decode_rows(value.rows());
     if (value.packed_rows() != nullptr) {
+        std::uint64_t unpacked_bytes = 0;
         for (const auto* row : *value.packed_rows()) {
+            unpacked_bytes += row->size();
+            if (unpacked_bytes > max_announced_bytes) {
+                throw error{result_code::peer_frame_malformed, "compressed rows exceed the limit"};
+            }
             result.rows.push_back(
                 unpack({{text_of(row->table_name()), text_of(row->key()), {}, row->version(), row->removed()},
                         row->size(),
@@ -236,13 +298,31 @@
     }
     if (value.moves() != nullptr) {
         for (const auto* move : *value.moves()) {
+            // The comparison is false for NaN.
+            if (!(move->share() >= 0.0 && move->share() <= 1.0)) {
+                throw error{result_code::peer_frame_malformed, "traffic share outside 0 to 1"};
+            }
             result.moves.push_back(
                 {text_of(move->service()), move->order_version(), move->share(), move->bad()});
         }
     }
+    result.deltas = decode_deltas(value.deltas());
+    if (value.reading() != wire::store_reading::none) {
+        result.reading = value.reading() == wire::store_reading::succeeded;
+    }
     return result;
 }
 
+/// The payload as the given table. The verifier accepts a message with a payload type and no payload.
+template <typename table>
+const table& payload_of(const wire::message& message) {
+    const auto* value = message.payload_as<table>();
+    if (value == nullptr) {
+        throw error{result_code::peer_frame_malformed, "peer message has no payload"};
+    }
+    return *value;
+}
+
 } // namespace
 
 std::string encode(const peer_message& message) {
@@ -253,6 +333,13 @@
 }
 
 peer_message decode_message(std::string_view payload) {
+    // FlatBuffers reads scalars in place; frames begin anywhere in the received bytes.
+    std::vector<std::uint64_t> aligned;
+    if (reinterpret_cast<std::uintptr_t>(payload.data()) % alignof(std::uint64_t) != 0) {
+        aligned.resize(payload.size() / sizeof(std::uint64_t) + 1);
+        std::memcpy(aligned.data(), payload.data(), payload.size());
+        payload = {reinterpret_cast<const char*>(aligned.data()), payload.size()};
+    }
     flatbuffers::Verifier verifier{reinterpret_cast<const std::uint8_t*>(payload.data()), payload.size()};
     if (!verifier.VerifyBuffer<wire::message>()) {
         throw error{result_code::peer_frame_malformed, "peer message failed FlatBuffers verification"};
@@ -260,18 +347,21 @@
     const auto* message = flatbuffers::GetRoot<wire::message>(payload.data());
     switch (message->payload_type()) {
     case wire::payload::call:
-        return decode(*message->payload_as_call());
+        return decode(payload_of<wire::call>(*message));
     case wire::payload::cancel:
-        return cancel_message{message->payload_as_cancel()->stream()};
+        return cancel_message{payload_of<wire::cancel>(*message).stream()};
     case wire::payload::reply:
-        return decode(*message->payload_as_reply());
+        return decode(payload_of<wire::reply>(*message));
     case wire::payload::announce:
-        return decode(*message->payload_as_announce());
-    case wire::payload::fetch:
-        return fetch_message{decode_rows(message->payload_as_fetch()->rows()),
-                             message->payload_as_fetch()->accepts_packed()};
-    case wire::payload::ping:
-        return ping_message{message->payload_as_ping()->id(), message->payload_as_ping()->answer()};
+        return decode(payload_of<wire::announce>(*message));
+    case wire::payload::fetch: {
+        const auto& value = payload_of<wire::fetch>(*message);
+        return fetch_message{decode_rows(value.rows()), value.accepts_packed(), decode_rows(value.known())};
+    }
+    case wire::payload::ping: {
+        const auto& value = payload_of<wire::ping>(*message);
+        return ping_message{value.id(), value.answer()};
+    }
     case wire::payload::NONE:
         break;
     }
--- a/src/sidecar/messages.h
+++ b/src/sidecar/messages.h
@@ -53,12 +53,15 @@
     std::vector<mesh::version_evidence> counters;
     std::vector<mesh::rollout_progress> moves;
     std::vector<packed_row> packed_rows; ///< rows to send compressed; the receiver finds them in `rows`
+    std::vector<mesh::row_delta> deltas;
+    std::optional<bool> reading; ///< whether the sender's reads of the store succeed
 };
 
 /// Requests the values of rows.
 struct fetch_message {
     std::vector<mesh::store_row> rows;
-    bool accepts_packed = false; ///< the answer may hold packed rows
+    bool accepts_packed = false;        ///< the answer may hold packed rows
+    std::vector<mesh::store_row> known; ///< heads that the sender has; the answer may hold deltas from them
 };
 
 struct ping_message {
--- a/tests/sidecar/messages_test.cpp
+++ b/tests/sidecar/messages_test.cpp
@@ -1,8 +1,11 @@
 #include "sidecar/messages.h"
 
 #include <catch2/catch.hpp>
+#include <flatbuffers/flatbuffers.h>
 #include <rapidcheck.h>
 
+#include <limits>
+
 using namespace endive;
 using namespace endive::sidecar;
 using namespace std::chrono_literals;
@@ -95,3 +98,38 @@
         }
     });
 }
+
+// Guards against a process that a frame of under 40 bytes ends: the verifier accepts a message whose payload
+// has a type and no content.
+TEST_CASE("a message with a payload type and no payload is rejected") {
+    for (int type = 1; type <= 7; ++type) {
+        flatbuffers::FlatBufferBuilder out;
+        const auto start = out.StartTable();
+        out.AddElement<std::uint8_t>(4, static_cast<std::uint8_t>(type), 0);
+        out.Finish(flatbuffers::Offset<void>{out.EndTable(start)});
+        INFO("payload type " << type);
+        CHECK_THROWS_AS(
+            decode_message({reinterpret_cast<const char*>(out.GetBufferPointer()), out.GetSize()}), error);
+    }
+}
+
+// Guards against traffic shares that are no shares: each comparison with NaN is false, and such a move never
+// ends.
+TEST_CASE("traffic shares outside 0 to 1 are rejected") {
+    for (const double share : {-0.1, 1.1, std::numeric_limits<double>::quiet_NaN()}) {
+        announce_message message;
+        message.moves.push_back({"s", 3, share, false});
+        CHECK_THROWS_AS(round_trip(message), error);
+    }
+}
+
+TEST_CASE("announcements carry deltas and whether the store answers, requests the known versions") {
+    announce_message message;
+    message.deltas.push_back({"op", "config", 3, 5, 0x1234567890abcdefULL, {{0, 10, "x"}, {7, 0, "y"}}});
+    message.reading = false;
+    const auto got = std::get<announce_message>(round_trip(message));
+    CHECK(got.deltas == message.deltas);
+    CHECK(got.reading == false);
+    const fetch_message fetch{{{"op", "config", "", 5}}, true, {{"op", "config", "", 3}}};
+    CHECK(std::get<fetch_message>(round_trip(fetch)).known == fetch.known);
+}
--- a/tests/sidecar/row_codec_test.cpp
+++ b/tests/sidecar/row_codec_test.cpp
@@ -31,7 +31,7 @@
     message.packed_rows.push_back(pack(large));
     const auto back = std::get<announce_message>(round_trip(message));
     CHECK(back.rows == std::vector{large});
-    CHECK(std::get<fetch_message>(round_trip(fetch_message{{large}, true})).accepts_packed);
+    CHECK(std::get<fetch_message>(round_trip(fetch_message{{large}, true, {}})).accepts_packed);
 }
 
 // Guards against a peer that makes a daemon allocate memory without limit, and against damaged values.
