Let a few readers of each failure domain watch the store, and pass changes on as deltas

Each small change of a configuration crossed each link whole. Change: mesh::reader_election decides which daemons read; the others hear of changes from them over their links, as deltas where the version before is known, and from comparisons of rows as before. A daemon reads the statuses with the first order, members only as a reader, and writes its row for its address and for a departure of its endpoint. A settings field says that the whole fleet starts for the first time, when there is nothing to read before the own row is written.

--- a/src/sidecar/events.cpp
+++ b/src/sidecar/events.cpp
@@ -21,6 +21,7 @@
     event_entry{store_history_gone, "store_history_gone", info, lifecycle},
     event_entry{store_answer_malformed, "store_answer_malformed", warning, lifecycle},
     event_entry{store_write_failed, "store_write_failed", info, lifecycle},
+    event_entry{reader_changed, "reader_changed", info, lifecycle},
     event_entry{peer_up, "peer_up", info, lifecycle},
     event_entry{peer_down, "peer_down", info, lifecycle},
     event_entry{peer_silent, "peer_silent", warning, lifecycle},
@@ -51,8 +52,8 @@
     event_entry{call_refused, "call_refused", info, refusal},
     event_entry{call_failed, "call_failed", info, refusal},
     event_entry{accept_failed, "accept_failed", warning, lifecycle},
-    event_entry{summary, "summary", info, lifecycle},
     event_entry{unexpected_exception, "unexpected_exception", warning, lifecycle},
+    event_entry{summary, "summary", info, lifecycle},
 };
 
 } // namespace
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -19,6 +19,7 @@
     store_history_gone,
     store_answer_malformed,
     store_write_failed,
+    reader_changed,
     peer_up,
     peer_down,
     peer_silent,
@@ -49,8 +50,8 @@
     call_refused,
     call_failed,
     accept_failed,
-    summary,
     unexpected_exception,
+    summary,
 };
 
 struct event_entry {
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -25,8 +25,8 @@
 
 peer_set::peer_set(boost::asio::io_context& loop, const clock_source& clock, const sidecar_settings& settings,
                    counter_set& counters, endpoint_service& local, const mesh::row_replica& rows,
-                   handlers callbacks)
-    : loop_{loop}, clock_{clock}, counters_{counters}, local_{local}, rows_{rows},
+                   const mesh::row_changes& changes, handlers callbacks)
+    : loop_{loop}, clock_{clock}, counters_{counters}, local_{local}, rows_{rows}, changes_{changes},
       callbacks_{std::move(callbacks)}, listener_{loop, settings.peers_address,
                                                   [this](std::shared_ptr<stream> connection) {
                                                       add_link(std::move(connection));
@@ -135,6 +135,22 @@
     broadcast(message);
 }
 
+void peer_set::publish_change(const mesh::store_row& row, const mesh::row_delta* change) {
+    announce_message message;
+    message.heads.push_back({row.table, row.key, {}, row.version, row.removed});
+    if (change != nullptr) {
+        message.deltas.push_back(*change);
+    }
+    broadcast(message, audience::own_domain);
+}
+
+void peer_set::publish_reading(bool reading) {
+    announce_message message;
+    message.heads = callbacks_.heads();
+    message.reading = reading;
+    broadcast(message, audience::own_domain);
+}
+
 void peer_set::publish_load(const mesh::endpoint_load& load, bool to_all) {
     announce_message message;
     message.load = load;
@@ -170,21 +186,6 @@
     }
 }
 
-void peer_set::on_announce(const std::shared_ptr<peer_link>& link, announce_message message) {
-    const bool is_new = link->daemon().empty();
-    if (is_new) {
-        if (message.members.empty() || message.members.front().daemon == self_.daemon) {
-            link->close();
-            return;
-        }
-        const bool same = message.members.front().failure_domain == self_.failure_domain;
-        link->count_bytes(counters_, same ? "peer_bytes_in_domain_" : "peer_bytes_between_domains_");
-    }
-    for (const auto& about : message.members) {
-        update_member(about);
-    }
-    auto* entry = find(link->daemon());
-    const bool is_better =
 /// Takes the identity of the daemon at the other end from its own member record; true when that is new. A
 /// daemon whose record is older than a known one has restarted while its clock was set back: it is told what
 /// is known of it, so that it continues from there.
@@ -208,6 +209,22 @@
     return is_new;
 }
 
+void peer_set::on_announce(const std::shared_ptr<peer_link>& link, announce_message message) {
+    const bool is_new = link->daemon().empty();
+    if (is_new) {
+        if (message.members.empty() || message.members.front().daemon == self_.daemon) {
+            link->close();
+            return;
+        }
+        const bool same = message.members.front().failure_domain == self_.failure_domain;
+        link->count_bytes(counters_, same ? "peer_bytes_in_domain_" : "peer_bytes_between_domains_");
+    }
+    const bool is_restarted = identify(*link, message.members);
+    for (const auto& about : message.members) {
+        update_member(about);
+    }
+    auto* entry = find(link->daemon());
+    const bool is_better =
         entry != nullptr &&
         (!entry->link || (is_restarted && entry->link->daemon_start() <= link->daemon_start()));
     if (is_better && !link->is_retired()) {
@@ -220,15 +237,18 @@
             log(event::peer_up, {{"peer", link->daemon()}});
         }
         close_links_before(*link);
-    const bool is_restarted = identify(*link, message.members);
     }
     if (message.load) {
         on_load(link, *message.load);
     }
     for (const auto& row : message.rows) {
-        on_row(link->daemon(), row);
+        on_row(link->daemon(), row, nullptr);
     }
+    on_deltas(link->daemon(), message.deltas);
     record_missing(link->daemon(), message.heads);
+    if (message.reading && entry != nullptr && entry->about.failure_domain == self_.failure_domain) {
+        callbacks_.reading(link->daemon(), *message.reading);
+    }
     if (!message.counters.empty() && entry != nullptr) {
         callbacks_.evidence(link->daemon(), entry->about.daemon_start_unix_ms, std::move(message.counters));
     }
@@ -237,7 +257,32 @@
     }
 }
 
-void peer_set::on_row(const std::string& daemon, const mesh::store_row& row) {
+/// Applies deltas that follow each other as one change, since each new version of a configuration is costly
+/// to decode.
+void peer_set::on_deltas(const std::string& daemon, std::span<const mesh::row_delta> deltas) {
+    while (!deltas.empty()) {
+        const auto& first = deltas.front();
+        std::optional<mesh::store_row> row;
+        if (const auto* base = rows_.find(first.table, first.key)) {
+            row = mesh::apply_delta(*base, first);
+        }
+        std::size_t applied = 1;
+        while (row && applied < deltas.size()) {
+            auto next = mesh::apply_delta(*row, deltas[applied]);
+            if (!next) {
+                break;
+            }
+            row = std::move(next);
+            ++applied;
+        }
+        if (row) {
+            on_row(daemon, *row, applied == 1 ? &first : nullptr);
+        }
+        deltas = deltas.subspan(applied);
+    }
+}
+
+void peer_set::on_row(const std::string& daemon, const mesh::store_row& row, const mesh::row_delta* via) {
     if (const auto elapsed = missing_.on_answer(row, daemon, clock_.now())) {
         log(event::row_received,
             {{"table", row.table},
@@ -247,7 +292,7 @@
              {"bytes", row.value.size()},
              {"elapsed_ms", std::chrono::duration_cast<milliseconds>(*elapsed).count()}});
     }
-    callbacks_.row(row);
+    callbacks_.row(row, via);
 }
 
 void peer_set::record_missing(const std::string& daemon, const std::vector<mesh::store_row>& heads) {
@@ -267,7 +312,18 @@
 
 void peer_set::on_fetch(const std::shared_ptr<peer_link>& link, const fetch_message& message) {
     announce_message answer;
+    for (const auto& known : message.known) {
+        const auto changes = changes_.since(known);
+        answer.deltas.insert(answer.deltas.end(), changes.begin(), changes.end());
+    }
     for (const auto& wanted : message.rows) {
+        const bool has_deltas =
+            std::any_of(answer.deltas.begin(), answer.deltas.end(), [&](const auto& delta) {
+                return delta.table == wanted.table && delta.key == wanted.key;
+            });
+        if (has_deltas) {
+            continue;
+        }
         if (const auto* row = rows_.find(wanted.table, wanted.key)) {
             const bool packed = message.accepts_packed && row->value.size() >= min_packed_bytes &&
                                 row->value.size() <= max_unpacked_bytes;
@@ -367,7 +423,12 @@
                  {"version", request.head.version},
                  {"peer", request.daemon},
                  {"waited_ms", std::chrono::duration_cast<milliseconds>(request.waited).count()}});
-            entry->link->send(fetch_message{{request.head}, true});
+            fetch_message message{{request.head}, true, {}};
+            const auto* known = rows_.find(request.head.table, request.head.key);
+            if (known != nullptr && known->value.size() >= min_packed_bytes) {
+                message.known.push_back({known->table, known->key, {}, known->version, known->removed});
+            }
+            entry->link->send(message);
         }
     }
 }
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -26,7 +26,8 @@
 class peer_set final : public peer_events {
 public:
     struct handlers {
-        std::function<void(const mesh::store_row&)> row;
+        /// A row from a peer; `via` is the delta that it was made with, if any.
+        std::function<void(const mesh::store_row&, const mesh::row_delta* via)> row;
         std::function<void(const mesh::member&)> member_update;
         std::function<void(const std::string& daemon, std::int64_t start,
                            std::vector<mesh::version_evidence>)>
@@ -36,10 +37,12 @@
         std::function<std::vector<mesh::store_row>()> heads;
         /// Time that the store has to deliver a row that peers hold before it is requested from a peer.
         std::function<mesh::missing_rows::store_timeouts()> store_timeouts;
+        /// A daemon in the same failure domain reports whether its reads of the store succeed.
+        std::function<void(const std::string& daemon, bool reading)> reading;
     };
     peer_set(boost::asio::io_context& loop, const clock_source& clock, const sidecar_settings& settings,
              counter_set& counters, endpoint_service& local, const mesh::row_replica& rows,
-             handlers callbacks);
+             const mesh::row_changes& changes, handlers callbacks);
 
     /// Sets the member record of this daemon and broadcasts it to all peers.
     void set_self(const mesh::member& self);
@@ -48,6 +51,11 @@
     void update_member(const mesh::member& about);
     /// Broadcasts a small row that this daemon wrote to all peers.
     void publish_row(const mesh::store_row& row);
+    /// Broadcasts within the failure domain that this daemon has a new version of a row that it read from the
+    /// store; `change` may be null. Peers with the previous version need nothing more.
+    void publish_change(const mesh::store_row& row, const mesh::row_delta* change);
+    /// Broadcasts within the failure domain whether this daemon's reads of the store succeed.
+    void publish_reading(bool reading);
     /// Broadcasts the load to the peers in this failure domain, or to all peers with `to_all`, which is for
     /// changes of `accepting`.
     void publish_load(const mesh::endpoint_load& load, bool to_all);
@@ -78,20 +86,22 @@
     void dial(peer& entry);
     void add_link(std::shared_ptr<stream> connection);
     void send_hello(peer_link& link);
+    bool identify(peer_link& link, const std::vector<mesh::member>& members);
     void close_links_before(const peer_link& link);
     void replace_link(const std::shared_ptr<peer_link>& link);
     enum class audience : std::uint8_t { all, own_domain };
     void broadcast(const peer_message& message, audience to = audience::all);
-    void on_row(const std::string& daemon, const mesh::store_row& row);
+    void on_row(const std::string& daemon, const mesh::store_row& row, const mesh::row_delta* via);
+    void on_deltas(const std::string& daemon, std::span<const mesh::row_delta> deltas);
     void record_missing(const std::string& daemon, const std::vector<mesh::store_row>& heads);
     void fetch_missing(time_point now);
 
-    bool identify(peer_link& link, const std::vector<mesh::member>& members);
     boost::asio::io_context& loop_;
     const clock_source& clock_;
     counter_set& counters_;
     endpoint_service& local_;
     const mesh::row_replica& rows_;
+    const mesh::row_changes& changes_;
     handlers callbacks_;
     mesh::member self_;
     std::map<std::string, peer> peers_;
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -37,7 +37,12 @@
     result.log_lines_per_second =
         reader.optional_integer("log_lines_per_second", result.log_lines_per_second, 1, 100'000);
     result.memory_mb = reader.optional_integer("memory_mb", result.memory_mb, 16, 1'000'000);
+    // Bandwidths are given as fractions; which of two links is faster does not depend on them.
+    constexpr double max_link_mbps = 1'000'000;
+    result.link_mbps =
+        static_cast<std::int64_t>(reader.optional_number("link_mbps", 0.0, 0.0, max_link_mbps));
     result.store_address = reader.required_address("store_address");
+    result.first_start = reader.optional_boolean("first_start", result.first_start);
     result.stop_grace = read_duration(reader, "stop_grace", result.stop_grace);
     result.retry_ratio = reader.optional_number("retry_ratio", result.retry_ratio, 0.0, 10.0);
     result.retry_slack = reader.optional_integer("retry_slack", result.retry_slack, 0, 1'000'000);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -16,6 +16,7 @@
 /// Maximum body size of requests that the daemon handles itself, such as heartbeats.
 constexpr std::uint64_t max_own_request_bytes = 64UL * 1024;
 constexpr duration store_timeout = milliseconds{3000};
+constexpr duration reader_selection_interval = milliseconds{200};
 /// Interval of re-reading the member rows, to find daemons that no peer has announced.
 constexpr duration member_read_interval = std::chrono::seconds{30};
 /// Number of consecutive missed heartbeats after which an endpoint is absent.
@@ -53,23 +54,27 @@
 
 sidecar::sidecar(boost::asio::io_context& loop, const clock_source& clock, sidecar_settings settings)
     : loop_{loop}, clock_{clock}, settings_{std::move(settings)}, local_{loop, clock, counters_, settings_},
-      rollouts_{settings_}, peers_{loop,
-                                   clock,
-                                   settings_,
-                                   counters_,
-                                   local_,
-                                   rows_,
-                                   {[this](const mesh::store_row& row) { on_peer_row(row); },
-                                    [this](const mesh::member& about) { on_member_update(about); },
-                                    [this](const std::string& daemon, std::int64_t start,
-                                           const std::vector<mesh::version_evidence>& counters) {
-                                        rollouts_.on_evidence(daemon, start, counters);
-                                    },
-                                    [this](const std::string& daemon,
-                                           const mesh::rollout_progress& progress) {
-                                        rollouts_.on_progress(daemon, progress, clock_.now());
-                                    },
-                                    [this] { return row_heads(); }, [this] { return store_timeouts(); }}},
+      rollouts_{settings_},
+      peers_{loop,
+             clock,
+             settings_,
+             counters_,
+             local_,
+             rows_,
+             row_changes_,
+             {[this](const mesh::store_row& row, const mesh::row_delta* via) { on_peer_row(row, via); },
+              [this](const mesh::member& about) { on_member_update(about); },
+              [this](const std::string& daemon, std::int64_t start,
+                     const std::vector<mesh::version_evidence>& counters) {
+                  rollouts_.on_evidence(daemon, start, counters);
+              },
+              [this](const std::string& daemon, const mesh::rollout_progress& progress) {
+                  rollouts_.on_progress(daemon, progress, clock_.now());
+              },
+              [this] { return row_heads(); }, [this] { return store_timeouts(); },
+              [this](const std::string& daemon, bool reading) {
+                  readers_.on_report(daemon, reading, clock_.now());
+              }}},
       forwarder_{clock, counters_, settings_, local_, peers_, rollouts_},
       callers_{loop, clock, settings_.callers_address,
                [this](const std::shared_ptr<exchange>& request) { forwarder_.handle(request); }},
@@ -79,6 +84,7 @@
                      [this](const std::shared_ptr<exchange>& request) { on_announcement(request); }},
       operator_rows_{loop,
                      clock,
+                     counters_,
                      settings_.store_address,
                      std::string{platform_wire::operator_table},
                      [this](const std::vector<mesh::store_row>& rows) {
@@ -86,12 +92,7 @@
                              on_row(row);
                          }
                      },
-                     [this](bool healthy) {
-                         store_available_ = healthy;
-                         if (healthy) {
-                             next_self_write_ = time_point{};
-                         }
-                     }},
+                     [this](bool healthy) { on_store_health(healthy); }},
       store_{loop, clock, settings_.store_address}, timer_{loop} {
     if (!settings_.metrics_address.empty()) {
         metrics_ = std::make_unique<http_server>(
@@ -109,6 +110,7 @@
                                                               : settings_.advertised_peer_address;
     self_.failure_domain = settings_.failure_domain;
     self_.service = settings_.service;
+    self_.link_mbps = settings_.link_mbps;
     local_.on_change([this] { publish_self(); });
 }
 
@@ -117,9 +119,9 @@
 void sidecar::start() {
     started_ = clock_.now();
     publish_self();
-    operator_rows_.start();
-    load_table(std::string{own_table}, {});
-    load_table(std::string{platform_wire::status_table}, {});
+    if (!settings_.first_start) {
+        load_table(std::string{own_table}, {});
+    }
     tick();
 }
 
@@ -192,9 +194,9 @@
     for (const auto& [name, value] : counters_.values()) {
         out << "endive_" << name << "_total " << value << "\n";
     }
+    out << "endive_unexpected_exceptions_total " << caught_exceptions() << "\n";
     const auto load = local_.load();
     out << "endive_endpoint_outstanding " << load.outstanding << "\n";
-    out << "endive_unexpected_exceptions_total " << caught_exceptions() << "\n";
     out << "endive_peer_links " << peers_.link_count() << "\n";
     for (const double quantile : {0.5, 0.9, 0.99}) {
         out << "endive_request_seconds{quantile=\"" << quantile << "\"} "
@@ -206,10 +208,24 @@
 
 // ---- rows -------------------------------------------------------------------------------------------------
 
-void sidecar::on_row(const mesh::store_row& row) {
+void sidecar::on_row(const mesh::store_row& row, const mesh::row_delta* via) {
+    std::optional<mesh::store_row> base;
+    const auto* known = rows_.find(row.table, row.key);
+    if (via == nullptr && known != nullptr && row.value.size() >= min_packed_bytes) {
+        base = *known;
+    }
     if (!rows_.apply(row)) {
         return;
     }
+    const mesh::row_delta* change = nullptr;
+    if (via != nullptr) {
+        change = row_changes_.record(*via, row.value.size());
+    } else if (base) {
+        change = row_changes_.record(*base, row);
+    }
+    if (row.table == platform_wire::operator_table && operator_rows_.is_active()) {
+        peers_.publish_change(row, change);
+    }
     on_row_update(row, clock_.now());
     try {
         if (row.table == platform_wire::operator_table) {
@@ -230,11 +246,11 @@
     }
 }
 
-void sidecar::on_peer_row(const mesh::store_row& row) {
+void sidecar::on_peer_row(const mesh::store_row& row, const mesh::row_delta* via) {
     if (row.table == platform_wire::operator_table) {
         operator_rows_.on_peer_row(row.version);
     }
-    on_row(row);
+    on_row(row, via);
 }
 
 void sidecar::on_operator_row(const mesh::store_row& row) {
@@ -242,6 +258,9 @@
         on_configuration(row);
     } else if (row.key.starts_with(platform_wire::rollout_prefix)) {
         rollouts_.on_order(row, clock_.now());
+        if (!std::exchange(statuses_requested_, true)) {
+            load_table(std::string{platform_wire::status_table}, {});
+        }
         // The start may have been recorded before this daemon received the order.
         const auto* start = rows_.find(own_table, std::string{start_prefix} +
                                                       row.key.substr(platform_wire::rollout_prefix.size()));
@@ -315,6 +334,7 @@
 }
 
 void sidecar::load_table(const std::string& table, const std::string& from) {
+    counters_.add("store_reads");
     store_.call(platform_wire::read_rows(table, from), store_timeout,
                 [this, table, from](const store_answer& answer) {
                     bool complete = false;
@@ -334,6 +354,10 @@
                                 {{"table", table}, {"place", cause.location()}, {"reason", cause.what()}});
                         }
                     }
+                    if (table == own_table) {
+                        members_requested_ = true;
+                        select_readers(clock_.now());
+                    }
                     if (!complete) {
                         counters_.add("store_read_failed");
                         auto timer = std::make_shared<boost::asio::steady_timer>(loop_, store_retry_delay);
@@ -351,6 +375,7 @@
 
 void sidecar::write(const mesh::store_row& row, std::uint64_t expected, std::function<void(bool)> done) {
     const platform_wire::row_condition condition{row.table, row.key, expected};
+    counters_.add("store_writes");
     store_.call(platform_wire::write_row(&condition, row), store_timeout,
                 [this, row, done = std::move(done)](const store_answer& answer) {
                     bool written = false;
@@ -396,30 +421,54 @@
     write_self();
 }
 
+const mesh::store_row* sidecar::own_member_row() const {
+    const auto* row = rows_.find(own_table, std::string{member_prefix} + self_.daemon);
+    return row == nullptr || row->removed ? nullptr : row;
+}
+
+/// True when the member row lacks what others and a restart of this daemon need from it: where the daemon is,
+/// and that its endpoint has left. Peers learn all other changes over their links.
+bool sidecar::needs_member_row() const {
+    const auto* row = own_member_row();
+    if (row == nullptr) {
+        return true;
+    }
+    try {
+        const auto stored = mesh::decode_member(row->value);
+        const bool moved = stored.address != self_.address || stored.failure_domain != self_.failure_domain ||
+                           stored.service != self_.service;
+        const bool departed = self_.state == mesh::endpoint_state::draining && !self_.endpoint_id.empty();
+        const bool recorded = stored.state == mesh::endpoint_state::draining &&
+                              stored.endpoint_id == self_.endpoint_id &&
+                              stored.endpoint_start_unix_ms >= self_.endpoint_start_unix_ms;
+        return moved || (departed && !recorded);
+    } catch (const error&) {
+        return true;
+    }
+}
+
 /// Writes this daemon's member row. Peers find the daemon by it, and after a restart the daemon reads the
-/// last state that its endpoint reported.
+/// last departure of its endpoint.
 void sidecar::write_self() {
     const auto now = clock_.now();
     // The first write waits for the endpoint's id, which is known after one heartbeat interval.
     const bool too_early = self_.endpoint_id.empty() && now < started_ + first_row_timeout;
-    if (writing_self_ || too_early || written_revision_ == self_.revision || now < next_self_write_) {
+    const bool row_unknown = !members_loaded_ && !settings_.first_start;
+    if (writing_self_ || too_early || row_unknown || now < next_self_write_ || !needs_member_row()) {
         return;
     }
     writing_self_ = true;
-    const auto revision = self_.revision;
-    const mesh::store_row row{std::string{own_table}, std::string{member_prefix} + self_.daemon,
-                              mesh::encode(self_), 0};
-    const auto* known = rows_.find(row.table, row.key);
-    write(row, known == nullptr || known->removed ? 0 : known->version, [this, revision](bool written) {
+    const bool is_first = own_member_row() == nullptr;
+    const auto key = std::string{member_prefix} + self_.daemon;
+    const auto* known = rows_.find(own_table, key);
+    const mesh::store_row row{std::string{own_table}, key, mesh::encode(self_), 0};
+    write(row, known == nullptr || known->removed ? 0 : known->version, [this, is_first](bool written) {
         writing_self_ = false;
-        if (written) {
-            // Reading after the own row is written lets two daemons that start together find each other.
-            if (written_revision_ == 0) {
-                load_table(std::string{own_table}, {});
-            }
-            written_revision_ = revision;
-        } else {
+        if (!written) {
             next_self_write_ = clock_.now() + store_retry_delay;
+        } else if (is_first) {
+            // Reading after the own row is written lets two daemons that start together find each other.
+            load_table(std::string{own_table}, {});
         }
         write_self();
     });
@@ -460,6 +509,10 @@
 
 void sidecar::slow_tick(time_point now) {
     operator_rows_.tick();
+    if (now >= next_reader_selection_) {
+        next_reader_selection_ = now + reader_selection_interval;
+        select_readers(now);
+    }
     peers_.tick(now);
     callers_.sweep(now);
     readiness_.sweep(now);
@@ -497,7 +550,8 @@
         peers_.publish_load(load, load.accepting != published_load_.accepting);
         published_load_ = load;
     }
-    if (members_loaded_ && now >= next_member_read_) {
+    const bool reads_members = operator_rows_.is_active() || peers_.link_count() == 0;
+    if (members_loaded_ && reads_members && now >= next_member_read_) {
         next_member_read_ = now + member_read_interval;
         load_table(std::string{own_table}, {});
     }
@@ -511,6 +565,7 @@
         const auto* row = rows_.find(own_table, key);
         if (row != nullptr && !row->removed && duty_rank(key) == 0) {
             const platform_wire::row_condition condition{row->table, key, row->version};
+            counters_.add("store_writes");
             store_.call(platform_wire::remove_row(condition), store_timeout,
                         [this, key](const store_answer& answer) {
                             if (answer.status != status_ok) {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -24,7 +24,8 @@
     void on_heartbeat(const std::shared_ptr<exchange>& request, const std::string& endpoint_id);
     void on_deregister(const std::shared_ptr<exchange>& request, const std::string& endpoint_id);
     void on_metrics(const std::shared_ptr<exchange>& request);
-    void on_row(const mesh::store_row& row);
+    /// Applies a row; `via` is the delta that it was made with, if any.
+    void on_row(const mesh::store_row& row, const mesh::row_delta* via = nullptr);
     void on_operator_row(const mesh::store_row& row);
     void on_own_row(const mesh::store_row& row);
     void on_member_update(const mesh::member& about);
@@ -38,7 +39,11 @@
     [[nodiscard]] std::vector<std::string> evaluators_of(const std::string& service) const;
     void advance_rollouts(time_point now);
     void send_evidence(const std::string& service);
-    void on_peer_row(const mesh::store_row& row);
+    void on_peer_row(const mesh::store_row& row, const mesh::row_delta* via);
+    void on_store_health(bool healthy);
+    void select_readers(time_point now);
+    [[nodiscard]] bool needs_member_row() const;
+    [[nodiscard]] const mesh::store_row* own_member_row() const;
     [[nodiscard]] mesh::missing_rows::store_timeouts store_timeouts() const;
     void on_row_update(const mesh::store_row& row, time_point now);
     void compare_rows(time_point now);
@@ -56,6 +61,8 @@
     sidecar_settings settings_;
     counter_set counters_;
     mesh::row_replica rows_;
+    mesh::row_changes row_changes_;
+    mesh::reader_election readers_;
     endpoint_service local_;
     rollouts rollouts_;
     peer_set peers_;
@@ -69,8 +76,9 @@
     boost::asio::steady_timer timer_;
     std::shared_ptr<const mesh::route_index> routes_;
     mesh::member self_;
-    std::uint64_t written_revision_ = 0; ///< revision of `self_` in the store
+    bool members_requested_ = false; ///< a first read of the member rows has ended, even in failure
     bool members_loaded_ = false;
+    bool statuses_requested_ = false;
     bool statuses_loaded_ = false;
     bool store_available_ = false;
     bool writing_self_ = false;
@@ -93,6 +101,9 @@
     time_point next_comparison_{};
     time_point last_row_update_{};
     std::uint64_t comparisons_ = 0;
+    time_point next_reader_selection_{};
+    time_point next_reading_report_{};
+    bool readers_started_ = false;
 };
 
 } // namespace endive::sidecar
--- a/src/sidecar/sidecar_moves.cpp
+++ b/src/sidecar/sidecar_moves.cpp
@@ -24,6 +24,9 @@
 /// Timeout for the first answer of the store after the start. The answer may be queued behind those to other
 /// daemons that started at the same time.
 constexpr duration first_answer_timeout = milliseconds{1000};
+/// Time in which a reader of the own failure domain delivers a row that is announced from another one.
+constexpr duration reader_delivery_time = milliseconds{250};
+constexpr duration reading_report_interval = std::chrono::seconds{1};
 /// Additional delay per rank before a daemon takes over a duty.
 constexpr duration duty_step = milliseconds{700};
 
@@ -137,6 +140,9 @@
 /// An available store delivers a change immediately, or with the answer after the pause between two watches.
 mesh::missing_rows::store_timeouts sidecar::store_timeouts() const {
     const bool just_started = clock_.now() - started_ < first_answer_timeout;
+    if (!operator_rows_.is_active()) {
+        return {duration{0}, just_started ? fetch_delay_delivering : reader_delivery_time};
+    }
     if (!store_available_) {
         const auto delay = just_started ? fetch_delay_delivering : duration{0};
         return {delay, delay};
@@ -145,6 +151,51 @@
             operator_rows_.is_delivering() ? fetch_delay_delivering : fetch_delay_watching};
 }
 
+/// Begins or ends following the store, and tells the daemons of the own failure domain that it succeeds.
+void sidecar::select_readers(time_point now) {
+    if (!readers_started_) {
+        if (!members_requested_ && peers_.link_count() == 0) {
+            return;
+        }
+        readers_started_ = true;
+        readers_.start(now);
+    }
+    std::vector<mesh::reader_candidate> others;
+    std::set<std::string_view> domains{settings_.failure_domain};
+    for (const auto& [name, entry] : peers_.peers()) {
+        domains.insert(entry.about.failure_domain);
+        if (entry.link && !entry.about.stopping && entry.about.failure_domain == settings_.failure_domain) {
+            others.push_back({name, entry.about.link_mbps});
+        }
+    }
+    const mesh::reader_candidate own{self_.daemon, self_.link_mbps};
+    const bool reads =
+        !stopping_since_ && readers_.should_read(own, others, domains.size(), routes_ != nullptr, now);
+    if (reads != operator_rows_.is_active()) {
+        log(event::reader_changed, {{"reading", reads}, {"candidates", others.size() + 1}});
+        if (reads) {
+            operator_rows_.start();
+        } else {
+            operator_rows_.stop();
+        }
+    }
+    if (operator_rows_.is_healthy() && now >= next_reading_report_) {
+        next_reading_report_ = now + reading_report_interval;
+        peers_.publish_reading(true);
+    }
+}
+
+void sidecar::on_store_health(bool healthy) {
+    store_available_ = healthy;
+    if (healthy) {
+        next_self_write_ = time_point{};
+    }
+    const auto now = clock_.now();
+    readers_.on_own_read(healthy, now);
+    next_reading_report_ = now + reading_report_interval;
+    peers_.publish_reading(healthy);
+}
+
 /// Schedules the next comparison, even after a long time without changes. The operator's changes are
 /// announced at once: a daemon that gets them late from the store learns of them only in this way.
 void sidecar::on_row_update(const mesh::store_row& row, time_point now) {
--- a/src/sidecar/store_client.cpp
+++ b/src/sidecar/store_client.cpp
@@ -17,7 +17,7 @@
 constexpr duration read_timeout = milliseconds{3000};
 /// Delay of the next watch after a change. Changes in quick succession are received with one call, and each
 /// is active well within the limit of two seconds.
-constexpr duration pause_after_change = milliseconds{700};
+constexpr duration pause_after_change = milliseconds{400};
 /// Time in which the first bytes of an answer that the store already has arrive, or its next bytes.
 constexpr duration answer_timeout = milliseconds{300};
 /// A watch without received bytes for this long, although a peer holds a newer row, is stale. Replacing it
@@ -151,11 +151,38 @@
 }
 
 table_follower::table_follower(boost::asio::io_context& loop, const clock_source& clock,
-                               std::string_view store, std::string table,
+                               counter_set& counters, std::string_view store, std::string table,
                                std::function<void(const std::vector<mesh::store_row>&)> on_rows,
                                std::function<void(bool)> on_health)
-    : clock_{clock}, connection_{loop, clock, store}, pause_timer_{loop}, table_{std::move(table)},
-      on_rows_{std::move(on_rows)}, on_health_{std::move(on_health)} {}
+    : clock_{clock}, counters_{counters}, connection_{loop, clock, store}, pause_timer_{loop},
+      table_{std::move(table)}, on_rows_{std::move(on_rows)}, on_health_{std::move(on_health)} {}
+
+void table_follower::start() {
+    if (std::exchange(active_, true)) {
+        return;
+    }
+    ++starts_;
+    healthy_.reset();
+    retry_delay_ = duration{0};
+    if (version_ == 0) {
+        read({});
+    } else {
+        watch();
+    }
+}
+
+void table_follower::stop() {
+    if (!std::exchange(active_, false)) {
+        return;
+    }
+    pausing_ = false;
+    watching_ = false;
+    restarting_ = false;
+    overdue_since_.reset();
+    first_page_version_.reset();
+    pause_timer_.cancel();
+    connection_.drop();
+}
 
 void table_follower::set_available() {
     if (healthy_ != true) {
@@ -188,8 +215,8 @@
 void table_follower::schedule(duration pause, std::function<void()> step) {
     pausing_ = true;
     pause_timer_.expires_after(pause);
-    pause_timer_.async_wait([this, step = std::move(step)](error_code code) {
-        if (!code) {
+    pause_timer_.async_wait([this, start = starts_, step = std::move(step)](error_code code) {
+        if (!code && active_ && start == starts_) {
             pausing_ = false;
             step();
         }
@@ -197,8 +224,12 @@
 }
 
 void table_follower::read(const std::string& from) {
+    counters_.add("store_reads");
     connection_.call(platform_wire::read_rows(table_, from), read_timeout,
                      [this, from](const store_answer& answer) {
+                         if (!active_) {
+                             return;
+                         }
                          if (answer.status != status_ok) {
                              retry("read", answer, [this, from] { read(from); });
                              return;
@@ -231,7 +262,7 @@
 }
 
 void table_follower::on_peer_row(std::uint64_t version) {
-    if (version > version_ && !overdue_since_) {
+    if (active_ && version > version_ && !overdue_since_) {
         overdue_since_ = clock_.now();
     }
 }
@@ -254,8 +285,12 @@
 
 void table_follower::watch() {
     watching_ = true;
+    counters_.add("store_watches");
     connection_.call(platform_wire::watch_rows(table_, version_, watch_wait), watch_wait + watch_slack,
                      [this](const store_answer& answer) {
+                         if (!active_) {
+                             return;
+                         }
                          watching_ = false;
                          overdue_since_.reset();
                          if (std::exchange(restarting_, false)) {
--- a/src/sidecar/store_client.h
+++ b/src/sidecar/store_client.h
@@ -62,10 +62,17 @@
 public:
     /// `on_rows` receives the initial rows and later changes; `on_health` is called each time the store
     /// becomes available or unavailable.
-    table_follower(boost::asio::io_context& loop, const clock_source& clock, std::string_view store,
-                   std::string table, std::function<void(const std::vector<mesh::store_row>&)> on_rows,
+    table_follower(boost::asio::io_context& loop, const clock_source& clock, counter_set& counters,
+                   std::string_view store, std::string table,
+                   std::function<void(const std::vector<mesh::store_row>&)> on_rows,
                    std::function<void(bool)> on_health);
-    void start() { read({}); }
+    /// Begins to follow the table, or continues where it stopped.
+    void start();
+    /// Ends the open call; nothing is delivered until the next start.
+    void stop();
+    [[nodiscard]] bool is_active() const { return active_; }
+    /// True while active and the last call succeeded.
+    [[nodiscard]] bool is_healthy() const { return active_ && healthy_ == true; }
     /// True while the next read or watch is delayed, its answer is arriving or may be on the way.
     [[nodiscard]] bool is_delivering() const;
     /// A peer holds a row of the table with this version. If the watch then stays silent, its connection is
@@ -83,19 +90,22 @@
     void set_lost(std::string_view call, const store_answer& answer);
 
     const clock_source& clock_;
+    counter_set& counters_;
     store_connection connection_;
     boost::asio::steady_timer pause_timer_;
     std::string table_;
     std::function<void(const std::vector<mesh::store_row>&)> on_rows_;
     std::function<void(bool)> on_health_;
     std::uint64_t version_ = 0;
+    bool active_ = false;
+    std::uint64_t starts_ = 0;                ///< tells a timer of an earlier start from the current one
     bool watching_ = false;                   ///< a watch is open
     bool restarting_ = false;                 ///< the open watch is being replaced
     std::optional<time_point> overdue_since_; ///< a peer holds a row that the watch has not delivered
     std::optional<std::uint64_t> first_page_version_;
     duration retry_delay_{0};
     bool pausing_ = false;
-    std::optional<bool> healthy_;
+    std::optional<bool> healthy_; ///< empty before the first answer since the start
 };
 
 } // namespace endive::sidecar
--- a/tests/sidecar/rows_test.cpp
+++ b/tests/sidecar/rows_test.cpp
@@ -132,13 +132,14 @@
             }
         }};
     std::vector<mesh::store_row> rows;
-    table_follower follower{
-        loop,
-        clock,
-        store.address(),
-        "op",
-        [&](const std::vector<mesh::store_row>& got) { rows.insert(rows.end(), got.begin(), got.end()); },
-        [](bool) {}};
+    counter_set counters;
+    table_follower follower{loop,
+                            clock,
+                            counters,
+                            store.address(),
+                            "op",
+                            [&](const std::vector<mesh::store_row>& got) { rows.insert(rows.end(), got.begin(), got.end()); },
+                            [](bool) {}};
     follower.start();
     REQUIRE(run_until(loop, [&] { return watches == 1; }));
     const std::string body{
