Do not connect again to a daemon whose greeting is awaited

In the first start of the fleet both daemons of a pair dialed each other, and both connections stayed. Change: no second dial for 3 s while a connection awaits its greeting. In the first start the daemon with the smaller name dials, the other 500 ms later if there is no link by then. The metrics count connections beside links. Result: links_test, failing first: 15 connections in 10 s to a silent daemon, at most 4 now; 14 connection ends among four daemons that start together, 12 now.

--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -12,6 +12,11 @@
 /// Maximum delay between connection attempts to an unreachable daemon, which may be back within a second of
 /// its restart.
 constexpr duration max_dial_backoff = milliseconds{800};
+/// Time for the first announcement on a new connection, which a paused or starting daemon sends late.
+constexpr duration greeting_timeout = std::chrono::seconds{3};
+/// In the first start of the fleet all daemons learn of each other at about the same time. The one with the
+/// smaller name dials; the other waits for this long.
+constexpr duration dial_precedence = milliseconds{500};
 /// Number of peers that row versions are sent to in each comparison round. On average each daemon receives
 /// two comparisons per round.
 constexpr std::size_t compared_peers = 2;
@@ -26,17 +31,19 @@
 peer_set::peer_set(boost::asio::io_context& loop, const clock_source& clock, const sidecar_settings& settings,
                    counter_set& counters, endpoint_service& local, const mesh::row_replica& rows,
                    const mesh::row_changes& changes, handlers callbacks)
-    : loop_{loop}, clock_{clock}, counters_{counters}, local_{local}, rows_{rows}, changes_{changes},
+    : loop_{loop}, clock_{clock},
+      first_start_{settings.first_start}, counters_{counters}, local_{local}, rows_{rows}, changes_{changes},
       callbacks_{std::move(callbacks)}, listener_{loop, settings.peers_address,
                                                   [this](std::shared_ptr<stream> connection) {
                                                       add_link(std::move(connection));
                                                   }} {}
 
-void peer_set::add_link(std::shared_ptr<stream> connection) {
+std::shared_ptr<peer_link> peer_set::add_link(std::shared_ptr<stream> connection) {
     const auto link = std::make_shared<peer_link>(std::move(connection), clock_, local_, *this);
     links_.insert(link);
     send_hello(*link);
     link->start();
+    return link;
 }
 
 /// Sends the first announcement of a link: this daemon's member record and the heads of its rows.
@@ -82,6 +89,9 @@
             entry.link.reset();
         }
     }
+    if (is_new && first_start_ && self_.daemon > about.daemon) {
+        entry.next_dial = clock_.now() + dial_precedence;
+    }
     callbacks_.member_update(about);
     if (!entry.link) {
         dial(entry);
@@ -90,7 +100,8 @@
 
 void peer_set::dial(peer& entry) {
     const auto now = clock_.now();
-    if (entry.dialing || now < entry.next_dial || entry.about.address.empty()) {
+    const bool waiting = entry.dialing || now < entry.next_dial || awaits_greeting(entry, now);
+    if (waiting || entry.about.address.empty()) {
         return;
     }
     entry.dialing = true;
@@ -106,11 +117,19 @@
                        if (connection && (known == nullptr || known->link)) {
                            connection->close(); // the peer has connected to this daemon meanwhile
                        } else if (connection) {
-                           add_link(std::move(connection));
+                           known->greeting = add_link(std::move(connection));
+                           known->greeting_since = clock_.now();
                        }
                    });
 }
 
+/// True while a connection to a daemon that is busy or paused may still become its link.
+bool peer_set::awaits_greeting(const peer& entry, time_point now) const {
+    const auto link = entry.greeting.lock();
+    const bool pending = link && link->is_open() && link->daemon().empty();
+    return pending && now - entry.greeting_since < greeting_timeout;
+}
+
 peer* peer_set::find(const std::string& daemon) {
     const auto found = peers_.find(daemon);
     return found == peers_.end() ? nullptr : &found->second;
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -19,6 +19,8 @@
     time_point next_dial{};
     duration dial_backoff{0};
     bool dialing = false;
+    std::weak_ptr<peer_link> greeting; ///< a dialed connection without an announcement so far
+    time_point greeting_since{};
     std::optional<time_point> unreachable_since;
 };
 
@@ -70,6 +72,8 @@
     /// Connects to peers without a link, checks the links and requests missing rows. Call about every 100 ms.
     void tick(time_point now);
     [[nodiscard]] std::size_t link_count() const;
+    /// Open connections to peers, including retired and redundant ones.
+    [[nodiscard]] std::size_t connection_count() const { return links_.size(); }
     /// True while a link has a reply that the other daemon has not acknowledged.
     [[nodiscard]] bool has_undelivered_replies() const;
     /// Daemons that have been unreachable for so long that their rows may be removed.
@@ -84,7 +88,8 @@
 
 private:
     void dial(peer& entry);
-    void add_link(std::shared_ptr<stream> connection);
+    std::shared_ptr<peer_link> add_link(std::shared_ptr<stream> connection);
+    [[nodiscard]] bool awaits_greeting(const peer& entry, time_point now) const;
     void send_hello(peer_link& link);
     bool identify(peer_link& link, const std::vector<mesh::member>& members);
     void close_links_before(const peer_link& link);
@@ -98,6 +103,7 @@
 
     boost::asio::io_context& loop_;
     const clock_source& clock_;
+    bool first_start_;
     counter_set& counters_;
     endpoint_service& local_;
     const mesh::row_replica& rows_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -198,6 +198,7 @@
     const auto load = local_.load();
     out << "endive_endpoint_outstanding " << load.outstanding << "\n";
     out << "endive_peer_links " << peers_.link_count() << "\n";
+    out << "endive_peer_connections " << peers_.connection_count() << "\n";
     for (const double quantile : {0.5, 0.9, 0.99}) {
         out << "endive_request_seconds{quantile=\"" << quantile << "\"} "
             << std::chrono::duration<double>(forwarder_.latency().quantile(quantile)).count() << "\n";
--- /dev/null
+++ b/tests/sidecar/links_test.cpp
@@ -0,0 +1,78 @@
+// Number of connections between daemons, on a loopback event loop.
+
+#include "sidecar/own_rows.h"
+#include "sidecar/vm.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endive;
+using namespace endive::sidecar;
+using namespace endive::sidecar::test;
+
+// Guards against thousands of connections to a daemon that is paused or slow while it starts: the kernel
+// accepts them, and each peer connected again every 100 to 800 ms until the daemon's first announcement.
+TEST_CASE("a daemon that accepts connections and stays silent is not dialed again and again") {
+    boost::asio::io_context loop;
+    manual_clock clock;
+    store_stand_in store{loop, clock};
+    const scripted_server silent{loop, [](const std::shared_ptr<stream>&, std::string&) {}};
+    mesh::member about;
+    about.daemon = "vm-silent";
+    about.daemon_start_unix_ms = 1;
+    about.revision = 1;
+    about.address = silent.address();
+    about.failure_domain = "z";
+    about.service = "books";
+    store.put(std::string{own_table}, std::string{member_prefix} + about.daemon, mesh::encode(about));
+    const vm front{loop, clock, store, "vm-a", "web"};
+    REQUIRE(run_until(loop, [&] { return silent.accepted() == 1; }));
+    for (int i = 0; i < 100; ++i) {
+        clock.advance(100ms);
+        run_steps(loop, 5);
+    }
+    CHECK(silent.accepted() >= 2); // the first connection may have been lost
+    CHECK(silent.accepted() <= 4);
+}
+
+// Guards against two connections for each pair of daemons after all have started together.
+TEST_CASE("daemons that start together connect once") {
+    boost::asio::io_context loop;
+    manual_clock clock;
+    store_stand_in store{loop, clock};
+    constexpr std::size_t count = 4;
+    store.put("op", "config", configuration(3, "books"));
+    std::vector<std::unique_ptr<vm>> fleet;
+    for (std::size_t i = 0; i < count; ++i) {
+        fleet.push_back(
+            std::make_unique<vm>(loop, clock, store, "vm-" + std::to_string(i), "books", 256, true));
+    }
+    // All write their rows at the same moment and read them before any has connected.
+    store.set_unavailable(true);
+    for (int i = 0; i < 40; ++i) {
+        clock.advance(100ms);
+        run_steps(loop, 5);
+    }
+    store.delay_reads(std::string{own_table});
+    store.set_unavailable(false);
+    for (int i = 0; i < 10; ++i) {
+        clock.advance(100ms);
+        run_steps(loop, 5);
+    }
+    store.release_reads();
+    const auto connections = [&] {
+        std::size_t open = 0;
+        for (const auto& entry : fleet) {
+            raw_client client{loop, entry->settings.metrics_address};
+            client.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+            const std::string name = "\nendive_peer_connections ";
+            REQUIRE(client.expect(name));
+            open += std::stoul(client.received().substr(client.received().find(name) + name.size()));
+        }
+        return open;
+    };
+    for (int i = 0; i < 100; ++i) {
+        clock.advance(100ms);
+        run_steps(loop, 5);
+    }
+    CHECK(connections() == count * (count - 1)); // each is counted at both ends
+}
--- a/tests/sidecar/vm.h
+++ b/tests/sidecar/vm.h
@@ -38,7 +38,8 @@
 /// One VM: a backend server and the daemon beside it.
 struct vm {
     vm(boost::asio::io_context& loop, const clock_source& clock, const store_stand_in& store,
-       const std::string& name, const std::string& service, std::int64_t memory_mb = 256)
+       const std::string& name, const std::string& service, std::int64_t memory_mb = 256,
+       bool first_start = false)
         : endpoint_id{"i-" + name}, endpoint_address{free_address()},
           backend{loop, clock, endpoint_address,
                   [this](const std::shared_ptr<exchange>& call) { serve(call); }} {
@@ -53,6 +54,7 @@
         settings.metrics_address = free_address();
         settings.store_address = store.address();
         settings.memory_mb = memory_mb;
+        settings.first_start = first_start;
         daemon = std::make_unique<endive::sidecar::sidecar>(loop, clock, settings);
         daemon->start();
     }
