Do not let short requests make an endpoint look fast

Cause: the first response set an endpoint's speed, and each later one counted alike. After each new configuration all daemons get requests on its new routes, which endpoints answer in about 5 ms where a caller's request takes 480 ms. Change: a response in under a tenth of the expected time weighs by the square of its ratio to that, and the first of full weight replaces the initial estimate.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -469,6 +469,7 @@
     [[nodiscard]] duration expected_service_time(duration latency_target) const;
     [[nodiscard]] duration expected_wait(std::size_t position) const;
     [[nodiscard]] bool goes_before(const gate_request& a, const gate_request& b, time_point now) const;
+    void record_service_time(duration service_time, duration latency_target);
     void start_waiting(std::vector<gate_action>& out, time_point now);
     void refuse_infeasible(std::vector<gate_action>& out, time_point now);
     void count_arrival(time_point now);
@@ -482,6 +483,7 @@
     duration service_time_{0};
     duration long_term_service_time_{0}; ///< averaged over more responses
     double slowness_ = 0;
+    double responses_ = 0;    ///< number of responses, short ones counted in part
     double arrival_rate_ = 0; ///< requests per second
     time_point last_arrival_{};
     std::map<std::uint64_t, duration> running_; ///< latency target by ticket
--- a/src/mesh/gate.cpp
+++ b/src/mesh/gate.cpp
@@ -9,6 +9,10 @@
 
 /// Weight of the latest response in the moving averages, which cover about the last 20 responses.
 constexpr double average_weight = 0.05;
+/// A response in less than this share of the expected time weighs less, by the square of the ratio. Short
+/// requests occupy the slots for little time, but may be frequent: each new configuration is checked on all
+/// daemons by requests on its new routes, which the endpoint answers in a few milliseconds.
+constexpr double full_weight_ratio = 0.1;
 /// Assumed service time before the first response.
 constexpr duration initial_service_time = milliseconds{100};
 /// A request starts only if this share of its expected service time fits before its deadline: service times
@@ -136,23 +140,33 @@
         return out;
     }
     if (service_time) {
-        const double ratio = found->second > duration{0} ? static_cast<double>(service_time->count()) /
-                                                               static_cast<double>(found->second.count())
-                                                         : initial_slowness;
-        if (service_time_ == duration{0}) {
-            service_time_ = *service_time;
-            long_term_service_time_ = *service_time;
-            slowness_ = ratio;
-        }
-        long_term_service_time_ += scaled(*service_time - long_term_service_time_, load_average_weight);
-        service_time_ += scaled(*service_time - service_time_, average_weight);
-        slowness_ += (ratio - slowness_) * average_weight;
+        record_service_time(*service_time, found->second);
     }
     running_.erase(found);
     start_waiting(out, now);
     return out;
 }
 
+void endpoint_gate::record_service_time(duration service_time, duration latency_target) {
+    if (service_time_ == duration{0}) {
+        service_time_ = latency_target > duration{0} ? expected_service_time(latency_target) : service_time;
+        long_term_service_time_ = service_time_;
+        slowness_ = initial_slowness;
+    }
+    const double ratio = latency_target > duration{0} ? static_cast<double>(service_time.count()) /
+                                                            static_cast<double>(latency_target.count())
+                                                      : slowness_;
+    const double significance = std::min(1.0, std::pow(ratio / (full_weight_ratio * slowness_), 2.0));
+    // The first response of full weight replaces the initial estimate.
+    const double weight = significance * std::max(average_weight, 1.0 - responses_);
+    service_time_ += scaled(service_time - service_time_, weight);
+    slowness_ += (ratio - slowness_) * weight;
+    // All responses count equally here, since the load is computed from the rate of all arrivals.
+    const double load_weight = responses_ < 1 ? weight : load_average_weight;
+    long_term_service_time_ += scaled(service_time - long_term_service_time_, load_weight);
+    responses_ += significance;
+}
+
 bool endpoint_gate::remove(std::uint64_t ticket) {
     return std::erase_if(queue_, [&](const gate_request& waiting) { return waiting.ticket == ticket; }) > 0;
 }
--- a/src/mesh/row_delta.cpp
+++ b/src/mesh/row_delta.cpp
@@ -35,8 +35,8 @@
 std::size_t row_delta::size() const {
     constexpr std::size_t step_bytes = 16;
     std::size_t result = 0;
-    for (const auto& step : steps) {
-        result += step_bytes + step.text.size();
+    for (const auto& entry : steps) {
+        result += step_bytes + entry.text.size();
     }
     return result;
 }
--- a/tests/mesh/gate_test.cpp
+++ b/tests/mesh/gate_test.cpp
@@ -86,6 +86,62 @@
     CHECK_FALSE(gate.remove(2));
 }
 
+// Load pattern: a few short requests on the routes of a new configuration before the first callers, and many
+// in a series of configurations. Guards against an endpoint that looks a hundred times faster than it is, so
+// that all daemons send their requests there.
+TEST_CASE("short requests on new routes do not make an endpoint look fast") {
+    auto gate = ready_gate(4);
+    auto now = start;
+    std::uint64_t ticket = 0;
+    const auto run = [&](duration service_time) {
+        (void)gate.offer({++ticket, 0, 1500ms, now + 1500ms, now + 10s}, now);
+        now += service_time;
+        (void)gate.finish(ticket, service_time, now);
+    };
+    for (int i = 0; i < 6; ++i) {
+        run(5ms);
+    }
+    CHECK(gate.load().slowness > 0.25);
+    CHECK(gate.load().service_time > 300ms);
+    for (int i = 0; i < 20; ++i) {
+        run(480ms);
+    }
+    CHECK(gate.load().slowness == Approx(0.32).epsilon(0.1));
+    for (int i = 0; i < 80; ++i) {
+        run(i % 4 == 0 ? 480ms : 5ms);
+    }
+    CHECK(gate.load().slowness > 0.25);
+    CHECK(gate.load().service_time > 300ms);
+}
+
+// Guards against an endpoint that is avoided for long after it was slow, or that looks slower than it is in a
+// service whose requests take a small part of their target.
+TEST_CASE("the speed of an endpoint is known again after some tens of responses") {
+    auto gate = ready_gate(4);
+    auto now = start;
+    std::uint64_t ticket = 0;
+    const auto run = [&](int count, duration service_time) {
+        for (int i = 0; i < count; ++i) {
+            (void)gate.offer({++ticket, 0, 1500ms, now + 1500ms, now + 60s}, now);
+            now += service_time;
+            (void)gate.finish(ticket, service_time, now);
+        }
+    };
+    run(40, 5760ms);
+    CHECK(gate.load().slowness > 3);
+    run(60, 480ms);
+    CHECK(gate.load().slowness < 0.7);
+    endive::mesh::endpoint_gate fast;
+    fast.set_slots(4);
+    (void)fast.set_ready(true, start);
+    for (std::uint64_t i = 1; i <= 30; ++i) {
+        (void)fast.offer({i, 0, 1500ms, now + 1500ms, now + 60s}, now);
+        now += 60ms;
+        (void)fast.finish(i, 60ms, now);
+    }
+    CHECK(fast.load().slowness < 0.12);
+}
+
 // Load pattern: reads arrive at twice the capacity of the endpoint for a long time, as after a scale-in.
 TEST_CASE("at twice its capacity an endpoint serves most of the admitted requests on time") {
     test::load_settings settings;
