Ping unused links less often

Change: a link on which nothing was sent since the last received data is pinged after 15 s; after 5 s as before when something was, so that a link in use, or one with evidence or loads unanswered, is found silent as soon as before.

--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -10,9 +10,11 @@
 /// Time without received data after which a link with pending calls is pinged. Well above the latency
 /// between failure domains.
 constexpr duration ping_after_busy = milliseconds{400};
-/// Time without received data after which an idle link is pinged. If a call is sent on a link that has been
-/// silent for longer than `ping_after_busy`, the next tick pings it.
-constexpr duration ping_after_idle = milliseconds{5000};
+/// Time without received data after which a link is pinged on which something was sent since. If a call is
+/// sent on a link that has been silent for longer than `ping_after_busy`, the next tick pings it.
+constexpr duration ping_after_sent = milliseconds{5000};
+/// The same for an unused link. Each daemon has a link to every other, and most are hardly used.
+constexpr duration ping_after_idle = milliseconds{15000};
 /// A link whose ping is unanswered for this long is suspect and avoided for new requests.
 constexpr duration suspect_timeout = milliseconds{250};
 /// A link whose ping is unanswered for this long is retired. TCP retransmits lost packets after 200 to
@@ -69,6 +71,7 @@
     if (counters_ != nullptr) {
         counters_->add(counter_prefix_ + std::string{kind}, frame->size());
     }
+    sent_since_received_ = sent_since_received_ || kind != kind_of(ping_message{});
     connection_->send(frame);
 }
 
@@ -79,6 +82,7 @@
 void peer_link::on_data(std::string_view bytes) {
     const auto self = shared_from_this();
     last_received_ = clock_.now();
+    sent_since_received_ = false;
     ping_sent_.reset();
     try {
         decoder_.feed(bytes);
@@ -175,7 +179,8 @@
         }
         return;
     }
-    if (now - last_received_ > (pending_.empty() ? ping_after_idle : ping_after_busy)) {
+    const auto unused = sent_since_received_ ? ping_after_sent : ping_after_idle;
+    if (now - last_received_ > (pending_.empty() ? unused : ping_after_busy)) {
         ping_sent_ = now;
         send(ping_message{static_cast<std::uint64_t>(now.time_since_epoch().count()), false});
     }
--- a/src/sidecar/peer_link.h
+++ b/src/sidecar/peer_link.h
@@ -85,6 +85,7 @@
     std::map<std::uint64_t, reply_handler> pending_; ///< calls sent, by stream
     std::map<std::uint64_t, std::uint64_t> serving_; ///< calls received: local id by stream
     time_point last_received_;
+    bool sent_since_received_ = false; ///< pings and their answers do not count
     std::optional<time_point> ping_sent_;
     bool reply_undelivered_ = false;
     bool retired_ = false;
--- a/tests/sidecar/links_test.cpp
+++ b/tests/sidecar/links_test.cpp
@@ -76,3 +76,53 @@
     }
     CHECK(connections() == count * (count - 1)); // each is counted at both ends
 }
+
+// Load pattern: a fleet at rest. Guards against pings on links that nobody uses, whose number grows with the
+// square of the fleet.
+TEST_CASE("an unused link is pinged each 15 s, one with unanswered data after 5 s") {
+    boost::asio::io_context loop;
+    manual_clock clock;
+    struct no_events final : peer_events {
+        void on_announce(const std::shared_ptr<peer_link>&, announce_message) override {}
+        void on_fetch(const std::shared_ptr<peer_link>&, const fetch_message&) override {}
+        void on_load(const std::shared_ptr<peer_link>&, const mesh::endpoint_load&) override {}
+        void on_retired(const std::shared_ptr<peer_link>&) override {}
+        void on_down(const std::shared_ptr<peer_link>&) override {}
+    } events;
+    struct no_calls final : call_target {
+        std::uint64_t execute(call_message, reply_handler) override { return 0; }
+        void cancel(std::uint64_t) override {}
+    } calls;
+    std::size_t bytes = 0;
+    const scripted_server peer{loop, [&](const std::shared_ptr<stream>&, std::string& input) {
+                                   bytes += std::exchange(input, {}).size();
+                               }};
+    std::shared_ptr<stream> connection;
+    connect_stream(loop, to_endpoint(peer.address()), 5s,
+                   [&](std::shared_ptr<stream> opened) { connection = std::move(opened); });
+    REQUIRE(run_until(loop, [&] { return connection != nullptr; }));
+    const auto link = std::make_shared<peer_link>(connection, clock, calls, events);
+    link->start();
+    const auto advance = [&](duration length) {
+        for (auto passed = 0ms; passed < length; passed += 100ms) {
+            clock.advance(100ms);
+            link->tick(clock.now());
+        }
+        run_steps(loop, 5);
+    };
+    advance(14s);
+    CHECK(bytes == 0);
+    advance(1500ms);
+    CHECK(bytes > 0);
+    const auto second = std::make_shared<peer_link>(connection, clock, calls, events);
+    second->send(announce_message{});
+    run_steps(loop, 5);
+    const auto before = bytes;
+    for (int i = 0; i < 60; ++i) {
+        clock.advance(100ms);
+        second->tick(clock.now());
+    }
+    run_steps(loop, 5);
+    CHECK(bytes > before);
+    link->close();
+}
