Spread requests over the good endpoints, and let them wait only where no slot is free

Change: choose_endpoint draws with weights that fall with the cost, within half of the cost of a crossing. A request whose endpoint is believed to have a free slot is answered `busy` when it has none, and goes to another one; after two such answers, when the chosen one is known to be full, or with a body over 16 KB it waits as before. The answer says truthfully that nothing has run.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -387,6 +387,13 @@
 [[nodiscard]] std::optional<std::size_t> choose_endpoint(std::span<const candidate> candidates,
                                                          const choice_request& request, std::uint64_t random);
 
+/// Whether a request sent to `chosen` may wait for a slot there. Otherwise the endpoint answers `busy` when
+/// it has none, and the request goes to another one: the load that this daemon knows is older than the
+/// requests that other daemons sent in the meantime. `options` is the number of endpoints that could be
+/// chosen, `busy_answers` the number of endpoints that had no slot for this request so far.
+[[nodiscard]] bool may_wait(const candidate& chosen, const choice_request& request, std::size_t options,
+                            std::size_t busy_answers);
+
 /// Properties of a request that decide its admission at an endpoint.
 struct admission_criteria {
     std::uint32_t priority = 0;
@@ -425,12 +432,13 @@
     std::uint64_t ticket = 0;
     std::uint32_t priority = 0;
     duration latency_target{0};
-    time_point target;   ///< a response before it is on time
-    time_point deadline; ///< a response after it is useless to the caller
+    time_point target;         ///< a response before it is on time
+    time_point deadline;       ///< a response after it is useless to the caller
+    bool only_if_free = false; ///< answered `busy` instead of queued
     friend auto operator<=>(const gate_request&, const gate_request&) = default;
 };
 
-enum class gate_verdict : std::uint8_t { start, queued, refused };
+enum class gate_verdict : std::uint8_t { start, queued, refused, busy };
 
 struct gate_action {
     std::uint64_t ticket = 0;
@@ -551,8 +559,9 @@
     stopping,    ///< the daemon is shutting down
     retired,     ///< the endpoint runs a version that has been replaced
     peer_silent, ///< the other daemon did not answer a ping; another endpoint was asked as well
+    busy,        ///< no slot was free, and the request was not to wait for one
 };
-inline constexpr reason last_reason = reason::peer_silent;
+inline constexpr reason last_reason = reason::busy;
 [[nodiscard]] std::string_view to_string(reason value);
 
 // ---- rollouts ---------------------------------------------------------------------------------------------
--- a/src/mesh/choice.cpp
+++ b/src/mesh/choice.cpp
@@ -7,8 +7,13 @@
 namespace endive::mesh {
 namespace {
 
-/// Costs that differ by less than this are equal; a random choice distributes load among them.
-constexpr double tie_margin = 0.01;
+/// An endpoint whose cost exceeds the least one by this is chosen 1 / e times as often. Many daemons choose
+/// at the same time by the same reports: if all took the best one, their requests would queue there until the
+/// next report.
+constexpr double cost_scale = 0.05;
+/// An endpoint whose cost exceeds the least one by more than this is not chosen. Half of the cost of
+/// crossing into another failure domain.
+constexpr double max_excess_cost = 0.1;
 /// Added latency of an endpoint behind another daemon: a round trip within the failure domain and two passes
 /// through event loops.
 constexpr duration remote_latency = std::chrono::microseconds{600};
@@ -29,6 +34,15 @@
 /// certain to be on time, the faster one is preferred.
 constexpr double time_weight = 0.05;
 
+/// A request waits at the next endpoint after this many had no free slot. Each costs a round trip, and in an
+/// overload none is free.
+constexpr std::size_t max_busy_answers = 2;
+/// A larger body is not sent to several endpoints: it takes longer than the wait that this avoids.
+constexpr std::size_t max_resent_bytes = 16UL * 1024;
+
+/// Multiplying by it spreads consecutive numbers over the whole range.
+constexpr std::uint64_t spreading_factor = 0x9e3779b97f4a7c15ULL;
+
 /// A refusal is valid for this long. An endpoint that refuses has its slots and its queue full for longer:
 /// with two of three endpoints removed, its refusals carried retry delays of a second and more.
 constexpr duration refusal_lifetime = milliseconds{150};
@@ -98,6 +112,13 @@
     return std::nullopt;
 }
 
+bool may_wait(const candidate& chosen, const choice_request& request, std::size_t options,
+              std::size_t busy_answers) {
+    const bool known_full = chosen.load.outstanding + chosen.sent_since_load >= chosen.load.slots;
+    return options < 2 || known_full || busy_answers >= max_busy_answers ||
+           request.body_bytes > max_resent_bytes;
+}
+
 std::optional<std::size_t> choose_endpoint(std::span<const candidate> candidates,
                                            const choice_request& request, std::uint64_t random) {
     if (candidates.empty()) {
@@ -108,14 +129,18 @@
     for (const auto& option : candidates) {
         costs.push_back(choice_cost(option, request));
     }
-    const double limit = *std::min_element(costs.begin(), costs.end()) + tie_margin;
-    std::vector<std::size_t> best;
-    for (std::size_t i = 0; i < costs.size(); ++i) {
-        if (costs[i] <= limit) {
-            best.push_back(i);
-        }
+    const double least = *std::min_element(costs.begin(), costs.end());
+    std::vector<double> cumulative;
+    cumulative.reserve(costs.size());
+    double total = 0;
+    for (const double cost : costs) {
+        const double excess = cost - least;
+        total += excess <= max_excess_cost ? std::exp(-excess / cost_scale) : 0.0;
+        cumulative.push_back(total);
     }
-    return best[random % best.size()];
+    const double position = total * std::ldexp(static_cast<double>(random * spreading_factor), -64);
+    const auto found = std::upper_bound(cumulative.begin(), cumulative.end(), position);
+    return static_cast<std::size_t>(std::min(found, cumulative.end() - 1) - cumulative.begin());
 }
 
 } // namespace endive::mesh
--- a/src/mesh/gate.cpp
+++ b/src/mesh/gate.cpp
@@ -110,13 +110,18 @@
 
 std::vector<gate_action> endpoint_gate::offer(const gate_request& request, time_point now) {
     std::vector<gate_action> out;
+    const bool slot_free = running_.size() < slots_ && queue_.empty();
+    if (ready_ && request.only_if_free && !slot_free) {
+        out.push_back({request.ticket, gate_verdict::busy, duration{0}});
+        return out;
+    }
     count_arrival(now);
     if (!ready_ || queue_.size() >= max_queued || request.deadline <= now) {
         out.push_back(
             {request.ticket, gate_verdict::refused, std::max(min_retry_after, expected_wait(queue_.size()))});
         return out;
     }
-    if (running_.size() < slots_ && queue_.empty()) {
+    if (slot_free) {
         running_[request.ticket] = request.latency_target;
         out.push_back({request.ticket, gate_verdict::start, duration{0}});
         return out;
@@ -299,6 +304,8 @@
         return "retired";
     case reason::peer_silent:
         return "peer_silent";
+    case reason::busy:
+        return "busy";
     }
     return "none";
 }
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -75,8 +75,9 @@
         return item->id;
     }
     const auto target = now + item->call.latency_target - item->call.waited;
-    apply(
-        gate_.offer({item->id, item->call.priority, item->call.latency_target, target, item->deadline}, now));
+    apply(gate_.offer({item->id, item->call.priority, item->call.latency_target, target, item->deadline,
+                       item->call.only_if_free},
+                      now));
     return item->id;
 }
 
@@ -96,6 +97,8 @@
         const auto item = found->second;
         if (action.verdict == mesh::gate_verdict::start) {
             start(item);
+        } else if (action.verdict == mesh::gate_verdict::busy) {
+            refuse(item, mesh::reason::busy, duration{0});
         } else {
             refuse(item, may_start() ? mesh::reason::no_room : not_starting_reason(), action.retry_after);
         }
@@ -184,7 +187,8 @@
     message.load = gate_.load();
     message.load.accepting = may_start();
     counters_.add("endpoint_" + std::string{to_string(message.why)});
-    if (message.outcome != mesh::attempt_outcome::answered) {
+    // The daemon that sent the request logs all endpoints that were busy.
+    if (message.outcome != mesh::attempt_outcome::answered && message.why != mesh::reason::busy) {
         log_unanswered(*item, message);
     }
     item->done(std::move(message));
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -138,6 +138,7 @@
     std::vector<attempt_trace> attempts;
     std::uint32_t sent = 0; ///< ended attempts that reached an endpoint or may have done so
     std::uint32_t refusals = 0;
+    std::uint32_t busy_answers = 0; ///< endpoints without a free slot
     std::uint32_t skipped_full = 0; ///< endpoints skipped because they recently rejected a similar request
     duration retry_after{0};        ///< minimum over the refusals
     mesh::reason last_refusal = mesh::reason::no_endpoint;
@@ -293,7 +294,7 @@
     }
     std::erase_if(options, [&](const endpoint_option& entry) {
         return std::any_of(item.attempts.begin(), item.attempts.end(), [&](const attempt_trace& attempt) {
-            return attempt.daemon == entry.about->daemon;
+            return attempt.daemon == entry.about->daemon && attempt.why != mesh::reason::busy;
         });
     });
     return options;
@@ -360,6 +361,7 @@
         {daemon, mesh::expected_time(target.facts, criteria), target.facts.load.outstanding, load_age, now});
     const auto index = item->attempts.size() - 1;
     auto call = make_call(*item, *target.about, now);
+    call.only_if_free = !mesh::may_wait(target.facts, criteria, options.size(), item->busy_answers);
     auto done = [this, item, index](reply_message reply) {
         const auto ended =
             std::erase_if(item->calls, [&](const open_call& entry) { return entry.attempt == index; });
@@ -434,6 +436,14 @@
 void forwarder::on_not_run(const std::shared_ptr<active_request>& item, std::size_t index,
                            const reply_message& reply) {
     const auto now = clock_.now();
+    if (reply.why == mesh::reason::busy) {
+        ++item->busy_answers;
+        counters_.add("busy_answers");
+        if (!item->has_responsive_call(now)) {
+            attempt(item);
+        }
+        return;
+    }
     ++item->refusals;
     item->record_refusal(reply.why, reply.retry_after);
     auto* entry = peers_.find(item->attempts[index].daemon);
--- a/src/sidecar/messages.h
+++ b/src/sidecar/messages.h
@@ -26,6 +26,7 @@
     milliseconds waited{0}; ///< time since the caller's request arrived
     std::uint32_t priority = 0;
     mesh::request_kind kind = mesh::request_kind::unsafe;
+    bool only_if_free = false; ///< answered `busy` when the endpoint has no free slot
 };
 
 /// The caller of an earlier call message has disconnected.
