Measure a rollout's elapsed time by the store's clock

Cause: the start of a rollout was recorded by the wall clock of one daemon and compared with that of another. Change: the record holds the store's steady clock, which comes with each page of rows; records of earlier versions give no elapsed time. A daemon that does not know the store's time yet writes no record.

--- a/src/sidecar/rollouts.cpp
+++ b/src/sidecar/rollouts.cpp
@@ -68,15 +68,15 @@
                              {"version", row.version}});
 }
 
-void rollouts::on_start(std::string_view service, std::uint64_t order_version, wall_time started,
-                        wall_time wall, time_point now) {
+void rollouts::on_start(std::string_view service, std::uint64_t order_version,
+                        std::optional<duration> elapsed, time_point now) {
     const auto found = services_.find(std::string{service});
     if (found == services_.end() || found->second.order_version != order_version || !found->second.rollout) {
         return;
     }
     found->second.start_recorded = true;
-    if (wall > started) {
-        found->second.rollout->set_elapsed(wall - started, now);
+    if (elapsed && *elapsed > duration{0}) {
+        found->second.rollout->set_elapsed(*elapsed, now);
     }
 }
 
--- a/src/sidecar/rollouts.h
+++ b/src/sidecar/rollouts.h
@@ -29,8 +29,9 @@
     /// Handles an order of the operator. Throws `error` with `platform_bad_answer`, as `on_status` does.
     void on_order(const mesh::store_row& row, time_point now);
     void on_status(const mesh::store_row& row);
-    /// A row in the daemons' own table records that the rollout began at `started`.
-    void on_start(std::string_view service, std::uint64_t order_version, wall_time started, wall_time wall,
+    /// A row in the daemons' own table records that the rollout began; `elapsed` is the time since then,
+    /// empty when this daemon does not know the clock that the row was written by.
+    void on_start(std::string_view service, std::uint64_t order_version, std::optional<duration> elapsed,
                   time_point now);
     void on_evidence(const std::string& daemon, std::int64_t start,
                      std::span<const mesh::version_evidence> counters);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -302,15 +302,26 @@
     }
     if (row.key.starts_with(start_prefix)) {
         const auto object = json::parse(row.value, nullptr, false);
-        if (!object.is_object() || !object.contains("order") || !object.contains("started_unix_ms")) {
+        if (!object.is_object() || !object.contains("order")) {
             throw error{result_code::platform_bad_answer, "malformed record of a rollout start", row.key};
         }
-        rollouts_.on_start(row.key.substr(start_prefix.size()), object["order"].get<std::uint64_t>(),
-                           from_unix_ms(object["started_unix_ms"].get<std::int64_t>()), clock_.wall_now(),
+        const auto now = store_time();
+        std::optional<duration> elapsed;
+        if (now && object.contains("started_store_ms")) { // absent in rows of earlier versions
+            elapsed = *now - milliseconds{object["started_store_ms"].get<std::int64_t>()};
+        }
+        rollouts_.on_start(row.key.substr(start_prefix.size()), object["order"].get<std::uint64_t>(), elapsed,
                            clock_.now());
     }
 }
 
+std::optional<duration> sidecar::store_time() const {
+    if (!store_clock_offset_) {
+        return std::nullopt;
+    }
+    return clock_.now().time_since_epoch() + *store_clock_offset_;
+}
+
 /// Handles a member update. A record of this daemon was written before its restart. If it has a later start
 /// time, the clock was set back meanwhile, and the start is moved behind it so that peers take this start for
 /// the newer one.
@@ -342,6 +353,9 @@
                     if (answer.status == status_ok) {
                         try {
                             const auto page = platform_wire::decode_rows(answer.body);
+                            if (page.store_time > milliseconds{0}) {
+                                store_clock_offset_ = page.store_time - clock_.now().time_since_epoch();
+                            }
                             for (const auto& row : page.rows) {
                                 on_row(row);
                             }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -28,6 +28,9 @@
     void on_row(const mesh::store_row& row, const mesh::row_delta* via = nullptr);
     void on_operator_row(const mesh::store_row& row);
     void on_own_row(const mesh::store_row& row);
+    /// The store's steady clock, which all daemons share and which no step of the wall clock changes; empty
+    /// before the first answer of the store.
+    [[nodiscard]] std::optional<duration> store_time() const;
     void on_member_update(const mesh::member& about);
     void on_configuration(const mesh::store_row& row);
     void publish_self();
@@ -78,6 +81,7 @@
     mesh::member self_;
     bool members_requested_ = false; ///< a first read of the member rows has ended, even in failure
     bool members_loaded_ = false;
+    std::optional<duration> store_clock_offset_; ///< of the store's clock to this daemon's
     bool statuses_requested_ = false;
     bool statuses_loaded_ = false;
     bool store_available_ = false;
--- a/src/sidecar/sidecar_moves.cpp
+++ b/src/sidecar/sidecar_moves.cpp
@@ -55,7 +55,12 @@
     }
     for (const auto& move : rollouts_.unrecorded_starts()) {
         const auto key = std::string{start_prefix} + move.service;
-        const json value{{"order", move.order_version}, {"started_unix_ms", to_unix_ms(clock_.wall_now())}};
+        const auto started = store_time();
+        if (!started) {
+            continue;
+        }
+        const json value{{"order", move.order_version},
+                         {"started_store_ms", std::chrono::duration_cast<milliseconds>(*started).count()}};
         const mesh::store_row row{std::string{own_table}, key, value.dump(), 0};
         const auto* known = rows_.find(own_table, key);
         duties.emplace_back(key, [this, key, row, expected = known == nullptr ? 0 : known->version] {
--- a/tests/platform_wire/wire_test.cpp
+++ b/tests/platform_wire/wire_test.cpp
@@ -108,6 +108,12 @@
     }
 }
 
+TEST_CASE("a page of rows tells the time of the store") {
+    CHECK(decode_rows(R"({"Rows":[],"Ver":3,"Now":"81234ms"})").store_time == 81234ms);
+    CHECK(decode_rows(R"({"Rows":[],"Ver":3})").store_time == 0ms);
+    CHECK_THROWS_AS(decode_rows(R"({"Rows":[],"Ver":3,"Now":"soon"})"), error);
+}
+
 TEST_CASE("a removed row in the change feed needs no value") {
     const auto page = decode_rows(R"({"Rows":[{"TableName":"t","Key":"k","Ver":3,"Removed":true}],"Ver":3})");
     CHECK(page.rows.at(0).removed);
--- a/tests/sidecar/path_test.cpp
+++ b/tests/sidecar/path_test.cpp
@@ -54,6 +54,20 @@
     CHECK(back.callers.back() == "web");
 }
 
+// Guards against a rollout that skips its steps because a wall clock was set ahead between its start and now:
+// the share of traffic rises by the time since the start.
+TEST_CASE("the start of a rollout is recorded by the store's clock") {
+    mesh_fixture f;
+    f.store.put("op", "config", configuration(3, "books"));
+    const vm front{f.loop, f.clock, f.store, "vm-a", "web"};
+    f.store.put("op", "rollout/books", R"({"Service":"books","To":"v2","Duration":"16s"})");
+    REQUIRE(run_until(f.loop, [&] { return f.store.find("endiveledge", "move/books").has_value(); }));
+    const auto row = json::parse(f.store.find("endiveledge", "move/books")->value);
+    // The stand-in's clock stands at 1 ms when the daemon reads it.
+    CHECK(row.at("started_store_ms").get<std::int64_t>() < 60'000);
+    CHECK_FALSE(row.contains("started_unix_ms"));
+}
+
 // Guards against two daemons that start together never finding each other, because each read the members
 // before the other's row was written.
 TEST_CASE("daemons that start at the same time find each other") {
