Recognize duplicates of the last 64 responses on a connection

Cause: a connection to an endpoint remembered the ids of four requests. A duplicate that came later had an unknown id, so the running request ended with an unknown outcome, for requests that may not be repeated with 502. Result: endpoint_client_test "a duplicate response is recognized after fifty further requests"; with four ids the 51st request failed.

--- a/src/sidecar/endpoint_client.cpp
+++ b/src/sidecar/endpoint_client.cpp
@@ -15,8 +15,9 @@
 constexpr duration max_idle_time = std::chrono::seconds{4};
 /// Fraction of the idle timeout announced by the endpoint for which a connection is reused.
 constexpr double announced_idle_fraction = 0.6;
-/// Number of recent request ids kept per connection to recognize a late duplicate response.
-constexpr std::size_t max_earlier_ids = 4;
+/// Number of recent request ids kept per connection to recognize a late duplicate response. A duplicate of an
+/// older one ends the running request with an unknown outcome.
+constexpr std::size_t max_earlier_ids = 64;
 /// Number of interim responses and duplicates of earlier responses that may precede a response.
 constexpr std::size_t max_skipped_responses = 16;
 
--- a/tests/sidecar/endpoint_client_test.cpp
+++ b/tests/sidecar/endpoint_client_test.cpp
@@ -79,6 +79,24 @@
     CHECK(f.client.idle_connections() == 0);
 }
 
+// Guards against ending a running request because of a duplicate that comes many requests late.
+TEST_CASE("a duplicate response is recognized after fifty further requests") {
+    int number = 0;
+    fixture f{[&](const std::shared_ptr<stream>& connection, std::string& input) {
+        if (is_complete_request(input)) {
+            input.clear();
+            ++number;
+            const auto own = response(std::to_string(number), "answer " + std::to_string(number));
+            connection->send(number == 51 ? response("1", "answer 1") + own : own);
+        }
+    }};
+    for (int i = 1; i <= 51; ++i) {
+        const auto result = f.run(std::to_string(i));
+        CHECK(result.outcome == mesh::attempt_outcome::answered);
+        CHECK(result.response.body == "answer " + std::to_string(i));
+    }
+}
+
 TEST_CASE("a response with an unknown id is rejected and its connection closed") {
     fixture f{[](const std::shared_ptr<stream>& connection, std::string& input) {
         if (is_complete_request(input)) {
