--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -320,7 +320,7 @@
 /// on; the others receive them over their links. The readers are the daemons with the fastest links, in a
 /// stable order, so daemons that know the same members agree on them without an election. When all readers of
 /// the domain fall silent, the next daemons in that order read as well, one after the other.
-class reader_election {
+class reader_selection {
 public:
     /// Silence of the readers counts from here.
     void start(time_point now);
--- a/src/mesh/readers.cpp
+++ b/src/mesh/readers.cpp
@@ -31,11 +31,11 @@
 
 } // namespace
 
-void reader_election::start(time_point now) {
+void reader_selection::start(time_point now) {
     last_report_ = now;
 }
 
-void reader_election::on_report(const std::string& daemon, bool reading, time_point now) {
+void reader_selection::on_report(const std::string& daemon, bool reading, time_point now) {
     last_report_ = std::max(last_report_, now);
     if (reading) {
         failures_.erase(daemon);
@@ -44,7 +44,7 @@
     }
 }
 
-void reader_election::on_own_read(bool succeeded, time_point now) {
+void reader_selection::on_own_read(bool succeeded, time_point now) {
     if (succeeded) {
         own_failure_.reset();
     } else if (!own_failure_) {
@@ -52,8 +52,8 @@
     }
 }
 
-bool reader_election::should_read(const reader_candidate& self, std::span<const reader_candidate> others,
-                                  std::size_t domains, bool has_configuration, time_point now) {
+bool reader_selection::should_read(const reader_candidate& self, std::span<const reader_candidate> others,
+                                   std::size_t domains, bool has_configuration, time_point now) {
     std::erase_if(failures_, [&](const auto& entry) { return now - entry.second > failure_lifetime; });
     if (own_failure_ && now - *own_failure_ > failure_lifetime) {
         own_failure_.reset();
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -65,7 +65,7 @@
     counter_set counters_;
     mesh::row_replica rows_;
     mesh::row_changes row_changes_;
-    mesh::reader_election readers_;
+    mesh::reader_selection readers_;
     endpoint_service local_;
     rollouts rollouts_;
     peer_set peers_;
--- a/tests/mesh/readers_test.cpp
+++ b/tests/mesh/readers_test.cpp
@@ -1,5 +1,5 @@
-// Tests of the choice of the daemons that read the store: a fleet of elections whose reports arrive at once,
-// with crashes, pauses and a store that turns daemons away.
+// Tests of the choice of the daemons that read the store: a fleet of such choices whose reports arrive at
+// once, with crashes, pauses and a store that turns daemons away.
 
 #include "endive/mesh.h"
 
@@ -25,7 +25,7 @@
 
     struct daemon {
         reader_candidate self;
-        reader_election election;
+        reader_selection selection;
         bool alive = true;
         bool paused = false;
         bool store_answers = true;
@@ -68,16 +68,16 @@
             }
         }
         const bool before = entry.reading;
-        entry.reading = entry.election.should_read(entry.self, others, domains_, true, now_);
+        entry.reading = entry.selection.should_read(entry.self, others, domains_, true, now_);
         if (!entry.reading || (before && now_ < entry.next_report)) {
             return;
         }
         calls_ += before && entry.store_answers ? 0 : 1; // a watch stays open; a failed call is repeated
         entry.next_report = now_ + 1s;
-        entry.election.on_own_read(entry.store_answers, now_);
+        entry.selection.on_own_read(entry.store_answers, now_);
         for (auto& other : daemons_) {
             if (&other != &entry && other.alive && !other.paused) {
-                other.election.on_report(entry.self.daemon, entry.store_answers, now_);
+                other.selection.on_report(entry.self.daemon, entry.store_answers, now_);
             }
         }
     }
