Accept fractions for the retry slack and the memory of a VM

Cause: the platform gives bounds as whole numbers or fractions, and the settings took only whole ones. Change: retry_slack and memory_mb are read as numbers.

--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -232,7 +232,7 @@
         return found->second;
     }
     const double daemons = static_cast<double>(peers_.peers().size() + 1);
-    const double burst = std::max(2.0, static_cast<double>(settings_.retry_slack) * burst_share / daemons);
+    const double burst = std::max(2.0, settings_.retry_slack * burst_share / daemons);
     return retry_budgets_.try_emplace(service, settings_.retry_ratio * budget_share, burst).first->second;
 }
 
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -36,8 +36,10 @@
     }
     result.log_lines_per_second =
         reader.optional_integer("log_lines_per_second", result.log_lines_per_second, 1, 100'000);
-    result.memory_mb = reader.optional_integer("memory_mb", result.memory_mb, 16, 1'000'000);
-    // Bandwidths are given as fractions; which of two links is faster does not depend on them.
+    // The platform gives memory, bandwidth and the retry slack as fractions too.
+    constexpr double max_memory_mb = 1'000'000;
+    result.memory_mb = static_cast<std::int64_t>(
+        reader.optional_number("memory_mb", static_cast<double>(result.memory_mb), 16.0, max_memory_mb));
     constexpr double max_link_mbps = 1'000'000;
     result.link_mbps =
         static_cast<std::int64_t>(reader.optional_number("link_mbps", 0.0, 0.0, max_link_mbps));
@@ -45,7 +47,8 @@
     result.first_start = reader.optional_boolean("first_start", result.first_start);
     result.stop_grace = read_duration(reader, "stop_grace", result.stop_grace);
     result.retry_ratio = reader.optional_number("retry_ratio", result.retry_ratio, 0.0, 10.0);
-    result.retry_slack = reader.optional_integer("retry_slack", result.retry_slack, 0, 1'000'000);
+    constexpr double max_retry_slack = 1'000'000;
+    result.retry_slack = reader.optional_number("retry_slack", result.retry_slack, 0.0, max_retry_slack);
     result.exposure_share = reader.optional_number("exposure_share", result.exposure_share, 0.0, 1.0);
     return result;
 }
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -25,7 +25,7 @@
     std::string store_address;
     milliseconds stop_grace{6000}; ///< from SIGTERM until the process is killed
     double retry_ratio = 0.2;      ///< retries per request that all daemons together may send
-    std::int64_t retry_slack = 60; ///< retries in a window beyond the ratio
+    double retry_slack = 60;       ///< retries in a window beyond the ratio
     bool first_start = false;      ///< the whole system starts for the first time
     double exposure_share = 0.1;   ///< maximum traffic share of a version not yet proven good
     friend bool operator==(const sidecar_settings&, const sidecar_settings&) = default;
