Let a traffic share expire, and evaluate after a pause only with new evidence

Cause: a daemon that had been paused or cut off kept the traffic share of a rollout without end. When it resumed it sent that share to a version which the others had found bad meanwhile, until it had read their verdict; as evaluator it took the steps that were due by the time passed, with the evidence from before. And the steady clock stands still while a VM is suspended, so no deadline of the daemon passed in that time. Change: a share is valid for 2.5 s after an evaluator set or repeated it, then the share of a version without evidence applies. An evaluator whose rollouts did not advance for 1.5 s neither steps nor completes for a second. endive_sidecar uses a clock that counts suspension.

--- a/include/endive/base.h
+++ b/include/endive/base.h
@@ -54,6 +54,15 @@
     [[nodiscard]] wall_time wall_now() const override { return std::chrono::system_clock::now(); }
 };
 
+/// The operating system's clock, which also counts the time for which the VM was suspended. What expires
+/// after an interval has then expired when the VM resumes. Not for deadlines of functions that wait by the
+/// steady clock.
+class boot_clock_source final : public clock_source {
+public:
+    [[nodiscard]] time_point now() const override;
+    [[nodiscard]] wall_time wall_now() const override { return std::chrono::system_clock::now(); }
+};
+
 /// A clock for tests that changes only through `advance`. Thread safe.
 class manual_clock final : public clock_source {
 public:
--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -628,6 +628,8 @@
     void apply_progress(double share, bool bad, time_point now);
     /// Share of the service's requests that go to the new version, from 0 to 1.
     [[nodiscard]] double traffic_share() const { return traffic_share_; }
+    /// Traffic share of a version without evidence.
+    [[nodiscard]] double initial_share() const;
     [[nodiscard]] bool is_bad() const { return bad_; }
     /// True when all traffic has gone to the new version for at least `length`.
     [[nodiscard]] bool has_full_traffic_for(duration length, time_point now) const {
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -2,6 +2,7 @@
 
 #include <cctype>
 #include <cstdio>
+#include <ctime>
 
 namespace endive {
 namespace {
@@ -41,6 +42,14 @@
 
 } // namespace
 
+time_point boot_clock_source::now() const {
+    timespec elapsed{};
+    if (::clock_gettime(CLOCK_BOOTTIME, &elapsed) != 0) {
+        return std::chrono::steady_clock::now();
+    }
+    return time_point{std::chrono::seconds{elapsed.tv_sec} + std::chrono::nanoseconds{elapsed.tv_nsec}};
+}
+
 std::int64_t to_unix_ms(wall_time time) {
     return std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count();
 }
--- a/src/mesh/rollout.cpp
+++ b/src/mesh/rollout.cpp
@@ -129,6 +129,10 @@
     }
 }
 
+double rollout::initial_share() const {
+    return settings_.exposure_share * first_step_ratio;
+}
+
 void rollout::advance(time_point now) {
     if (final_) {
         return;
@@ -147,7 +151,7 @@
     const auto overall = evidence.find(all_routes);
     const double responses =
         overall == evidence.end() ? 0 : overall->second[1].answered + overall->second[1].failed;
-    double share = settings_.exposure_share * first_step_ratio;
+    double share = initial_share();
     for (const auto& candidate_step : steps) {
         const double required = elapsed_ratio >= late_phase_start
                                     ? std::min(candidate_step.min_responses, late_phase_responses)
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -221,7 +221,7 @@
     }
     item->service = item->route->parts[splits_.choose(*item->route)].service;
     item->headers = forwarded_headers(request.headers, settings_.service);
-    item->version = moves_.choose(item->service);
+    item->version = moves_.choose(item->service, clock_.now());
     retry_budget_for(item->service).on_request();
     attempt(item);
 }
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -32,7 +32,7 @@
 
 void run(const endive::sidecar::sidecar_settings& settings) {
     boost::asio::io_context loop{1};
-    const endive::system_clock_source clock;
+    const endive::boot_clock_source clock;
     endive::sidecar::sidecar daemon{loop, clock, settings};
     boost::asio::signal_set stop_signals{loop, SIGTERM, SIGINT};
     stop_signals.async_wait([&](boost::system::error_code code, int) {
--- a/src/sidecar/rollouts.cpp
+++ b/src/sidecar/rollouts.cpp
@@ -15,6 +15,12 @@
 /// An evaluating daemon from which no progress was received for this long is skipped. It publishes its
 /// progress twice a second.
 constexpr duration evaluator_timeout = milliseconds{1500};
+/// A traffic share is valid for this long after an evaluator set or repeated it.
+constexpr duration share_lifetime = milliseconds{2500};
+/// A daemon that did not advance its rollouts for this long was paused.
+constexpr duration pause_threshold = milliseconds{1500};
+/// After a pause a daemon evaluates again when it has received the progress and the evidence of the others.
+constexpr duration resume_delay = milliseconds{1000};
 
 } // namespace
 
@@ -34,6 +40,9 @@
     if (row.version <= item.order_version) {
         return;
     }
+    if (running().empty()) {
+        last_advance_ = now;
+    }
     item.order_version = row.version;
     item.rollout.emplace(order, settings_, now);
     item.start_recorded = false;
@@ -112,6 +121,7 @@
         const auto received = item.received.find(evaluator);
         if (received != item.received.end() && now - received->second.at < evaluator_timeout) {
             item.rollout->apply_progress(received->second.value.traffic_share, false, now);
+            item.share_confirmed = received->second.at;
             return;
         }
     }
@@ -138,8 +148,16 @@
     return result;
 }
 
+bool rollouts::may_evaluate(time_point now) const {
+    return !resumed_ || now - *resumed_ >= resume_delay;
+}
+
 void rollouts::advance(time_point now, const std::string& self,
                        const std::function<std::vector<std::string>(const std::string&)>& evaluators) {
+    if (now - last_advance_ > pause_threshold) {
+        resumed_ = now;
+    }
+    last_advance_ = now;
     for (auto& [service, item] : services_) {
         if (!item.rollout || item.rollout->final_state()) {
             continue;
@@ -147,12 +165,14 @@
         const bool was_bad = item.rollout->is_bad();
         const double share = item.rollout->traffic_share();
         const auto order = evaluators(service);
-        item.evaluated_here = std::find(order.begin(), order.end(), self) != order.end();
+        item.evaluated_here = may_evaluate(now) && std::find(order.begin(), order.end(), self) != order.end();
         // Only the first evaluating daemon sets the traffic share; the others evaluate and apply its share.
         if (item.evaluated_here) {
             item.rollout->advance(now);
         }
-        if (order.empty() || order.front() != self) {
+        if (item.evaluated_here && order.front() == self) {
+            item.share_confirmed = now;
+        } else {
             follow(item, order, now);
         }
         if (item.rollout->is_bad() && !was_bad) {
@@ -168,7 +188,7 @@
     }
 }
 
-version_choice rollouts::choose(const std::string& service) {
+version_choice rollouts::choose(const std::string& service, time_point now) {
     const auto found = services_.find(service);
     if (found == services_.end() || !found->second.rollout) {
         return {};
@@ -181,7 +201,9 @@
         choice.use_new = true;
         return choice;
     }
-    item.credit += item.rollout->traffic_share();
+    const double share = item.rollout->traffic_share();
+    const bool confirmed = now - item.share_confirmed <= share_lifetime;
+    item.credit += confirmed ? share : std::min(share, item.rollout->initial_share());
     if (item.credit >= 1.0) {
         item.credit -= 1.0;
         choice.use_new = true;
@@ -217,7 +239,7 @@
         const bool status_is_current = item.status && item.status_version > item.order_version;
         if (item.rollout->is_bad()) {
             result.push_back({{service, order.to, mesh::rollout_state::rolled_back}, item.status_version});
-        } else if (item.rollout->may_complete(now) && old_idle(service, order.to)) {
+        } else if (may_evaluate(now) && item.rollout->may_complete(now) && old_idle(service, order.to)) {
             result.push_back({{service, order.to, mesh::rollout_state::completed}, item.status_version});
         } else if (!status_is_current) {
             result.push_back({{service, order.to, mesh::rollout_state::running}, item.status_version});
--- a/src/sidecar/rollouts.h
+++ b/src/sidecar/rollouts.h
@@ -45,8 +45,9 @@
     [[nodiscard]] std::vector<mesh::rollout_progress> progress() const;
     /// Services with an unfinished rollout.
     [[nodiscard]] std::vector<std::string> running() const;
-    /// Chooses the version for one request.
-    [[nodiscard]] version_choice choose(const std::string& service);
+    /// Chooses the version for one request. A traffic share that no evaluator has confirmed lately, since
+    /// this daemon was paused or cut off, is limited to that of a version without evidence.
+    [[nodiscard]] version_choice choose(const std::string& service, time_point now);
     /// True when endpoints of this version accept no new work because the version has been replaced or rolled
     /// back.
     [[nodiscard]] bool is_retired(const std::string& service, const std::string& version,
@@ -72,6 +73,7 @@
         bool start_recorded = false;
         double credit = 0; ///< accumulated traffic share; the new version is chosen at 1
         bool evaluated_here = false;
+        time_point share_confirmed{}; ///< when an evaluator last set the traffic share
         struct received_progress {
             mesh::rollout_progress value;
             time_point at;
@@ -79,9 +81,12 @@
         std::map<std::string, received_progress> received; ///< by evaluating daemon
     };
     void follow(entry& item, const std::vector<std::string>& evaluators, time_point now);
+    [[nodiscard]] bool may_evaluate(time_point now) const;
     void apply_status(entry& item);
     mesh::rollout_settings settings_;
     std::map<std::string, entry> services_;
+    time_point last_advance_{};
+    std::optional<time_point> resumed_; ///< end of the last pause of this daemon during a rollout
     struct latest {
         std::int64_t start = 0;
         std::vector<mesh::version_evidence> counters;
