Report loads only when they matter

Cause: each daemon told all others of its failure domain the load of its endpoint up to five times a second, at each change by three requests and whenever the endpoint became idle or busy. Change: mesh::load_reporter reports soon when the last slot is taken or one is free again, every 400 ms a change by half of the slots, each second a smaller one.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -358,6 +358,19 @@
     friend auto operator<=>(const endpoint_load&, const endpoint_load&) = default;
 };
 
+/// Decides when a daemon tells the others in its failure domain the load of its endpoint. Each report is a
+/// message to every one of them, and replies carry the load as well, so small changes are reported seldom;
+/// that the last slot was taken or the first one is free again is reported soon. Not thread safe.
+class load_reporter {
+public:
+    /// True when `load` is to be reported now, which it then counts as.
+    [[nodiscard]] bool take_due(const endpoint_load& load, time_point now);
+
+private:
+    std::optional<endpoint_load> reported_;
+    time_point reported_at_{};
+};
+
 /// An endpoint that a request may be sent to.
 struct candidate {
     std::string daemon;
--- a/src/mesh/choice.cpp
+++ b/src/mesh/choice.cpp
@@ -40,6 +40,12 @@
 /// A larger body is not sent to several endpoints: it takes longer than the wait that this avoids.
 constexpr std::size_t max_resent_bytes = 16UL * 1024;
 
+/// Minimum intervals of load reports: of any two, of those of a change by half of the slots, and of those of
+/// a smaller change.
+constexpr duration min_report_interval = milliseconds{300};
+constexpr duration large_change_interval = milliseconds{400};
+constexpr duration small_change_interval = milliseconds{1000};
+
 /// Multiplying by it spreads consecutive numbers over the whole range.
 constexpr std::uint64_t spreading_factor = 0x9e3779b97f4a7c15ULL;
 
@@ -112,6 +118,25 @@
     return std::nullopt;
 }
 
+bool load_reporter::take_due(const endpoint_load& load, time_point now) {
+    const auto since = now - reported_at_;
+    bool due = !reported_;
+    if (reported_) {
+        const auto [less, more] = std::minmax(load.outstanding, reported_->outstanding);
+        const auto change = more - less;
+        const bool full_changed =
+            (load.outstanding >= load.slots) != (reported_->outstanding >= reported_->slots);
+        due = load.accepting != reported_->accepting || (full_changed && since >= min_report_interval) ||
+              (change * 2 >= load.slots && since >= large_change_interval) ||
+              (change >= std::max(2U, load.slots / 4) && since >= small_change_interval);
+    }
+    if (due) {
+        reported_ = load;
+        reported_at_ = now;
+    }
+    return due;
+}
+
 bool may_wait(const candidate& chosen, const choice_request& request, std::size_t options,
               std::size_t busy_answers) {
     const bool known_full = chosen.load.outstanding + chosen.sent_since_load >= chosen.load.slots;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -11,8 +11,6 @@
 
 constexpr duration tick_interval = milliseconds{20};
 constexpr duration slow_tick_interval = milliseconds{100};
-/// Replies always carry the load; apart from that, a change is published at most this often.
-constexpr duration load_interval = milliseconds{200};
 /// Maximum body size of requests that the daemon handles itself, such as heartbeats.
 constexpr std::uint64_t max_own_request_bytes = 64UL * 1024;
 constexpr duration store_timeout = milliseconds{3000};
@@ -46,10 +44,6 @@
     return response;
 }
 
-std::uint32_t difference(std::uint32_t a, std::uint32_t b) {
-    return a > b ? a - b : b - a;
-}
-
 } // namespace
 
 sidecar::sidecar(boost::asio::io_context& loop, const clock_source& clock, sidecar_settings settings)
@@ -556,14 +550,9 @@
         write_due_statuses(now);
     }
     const auto load = local_.load();
-    const bool load_changed =
-        load.accepting != published_load_.accepting ||
-        difference(load.outstanding, published_load_.outstanding) > std::max(2U, load.slots / 4) ||
-        (load.outstanding == 0) != (published_load_.outstanding == 0);
-    if (load_changed && now >= next_load_) {
-        next_load_ = now + load_interval;
-        peers_.publish_load(load, load.accepting != published_load_.accepting);
-        published_load_ = load;
+    if (load_reports_.take_due(load, now)) {
+        peers_.publish_load(load, load.accepting != published_accepting_);
+        published_accepting_ = load.accepting;
     }
     const bool reads_members = operator_rows_.is_active() || peers_.link_count() == 0;
     if (members_loaded_ && reads_members && now >= next_member_read_) {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -91,9 +91,9 @@
     time_point next_member_read_{};
     std::set<std::string> writing_; ///< duties with a write in progress
     std::map<std::string, time_point> duty_since_;
-    mesh::endpoint_load published_load_;
+    mesh::load_reporter load_reports_;
+    bool published_accepting_ = true;
     time_point next_slow_tick_{};
-    time_point next_load_{};
     std::optional<time_point> stopping_since_;
     time_point work_end_; ///< when work that is left in a stop is ended, early enough to deliver the answers
     std::optional<time_point> idle_since_; ///< while stopping
--- a/tests/mesh/placement_test.cpp
+++ b/tests/mesh/placement_test.cpp
@@ -15,12 +15,14 @@
 struct fleet_result {
     int requests = 0;
     int on_time = 0;
-    int waited = 0; ///< queued at their endpoint
-    int calls = 0;  ///< messages with a request, including those answered `busy`
+    int waited = 0;  ///< queued at their endpoint
+    int calls = 0;   ///< messages with a request, including those answered `busy`
+    int reports = 0; ///< of the load of one endpoint to all daemons
 };
 
 /// Endpoints of different speeds in one failure domain and the daemons that send requests to them. A daemon
-/// learns the load of an endpoint from its replies and from reports to all, one each 200 ms.
+/// learns the load of an endpoint from its replies and from reports to all: one each interval, or those that
+/// `load_reporter` considers due if the interval is 0.
 class fleet_run {
 public:
     fleet_run(double utilization, bool always_wait, duration report_interval = 200ms)
@@ -56,11 +58,9 @@
                 next_arrival = now_ + interval();
             } else {
                 for (std::size_t i = 0; i < endpoint_count; ++i) {
-                    for (auto& daemon : known_) {
-                        learn(daemon[i], i);
-                    }
+                    report(i);
                 }
-                next_report = now_ + report_interval_;
+                next_report = now_ + (report_interval_ > 0ms ? report_interval_ : reporter_tick);
             }
         }
         return result_;
@@ -71,9 +71,11 @@
     static constexpr std::size_t daemon_count = 40;
     static constexpr std::uint32_t slots = 11;
     static constexpr duration target = 1500ms;
+    static constexpr duration reporter_tick = 100ms;
 
     struct endpoint {
         endpoint_gate gate;
+        load_reporter reporter;
         duration service_time{0};
     };
     struct item {
@@ -88,6 +90,17 @@
         return std::chrono::duration_cast<duration>(std::chrono::duration<double>(distribution(random_)));
     }
 
+    void report(std::size_t index) {
+        auto& from = endpoints_[index];
+        if (report_interval_ == 0ms && !from.reporter.take_due(from.gate.load(), now_)) {
+            return;
+        }
+        ++result_.reports;
+        for (auto& daemon : known_) {
+            learn(daemon[index], index);
+        }
+    }
+
     void learn(candidate& option, std::size_t index) {
         option.load = endpoints_[index].gate.load();
         option.sent_since_load = 0;
@@ -173,6 +186,22 @@
     }
 }
 
+// Load pattern: as above. Guards against reports of the load that take more of the daemons' time than the
+// requests, since each goes to every daemon of the failure domain.
+TEST_CASE("few reports of the load suffice") {
+    const auto late_share = [](const fleet_result& result) {
+        return 1.0 - result.on_time / double(result.requests);
+    };
+    for (const double utilization : {0.4, 0.6, 0.8}) {
+        const auto regular = fleet_run{utilization, false}.run(30s);
+        const auto current = fleet_run{utilization, false, 5ms}.run(30s);
+        const auto selected = fleet_run{utilization, false, 0ms}.run(30s);
+        CAPTURE(utilization, selected.reports, late_share(selected), late_share(current));
+        CHECK(selected.reports < regular.reports / 2);
+        CHECK(late_share(selected) < late_share(current) + 0.01);
+    }
+}
+
 // Load pattern: a quarter more requests than the endpoints can run. Guards against messages that multiply in
 // an overload, when no endpoint has a free slot.
 TEST_CASE("in an overload few requests are sent to several endpoints") {
