Read no more requests at the very end of a stop's grace time

Cause: where callers have no other daemon they go on sending until the process ends at the end of its grace time. A request read in the last moments was refused, and the end of the process could cut that answer off; its caller could not tell what had happened. A request that has not been read can safely be sent elsewhere. Result: http_server_test 'a server that has stopped reading answers pending requests and leaves later ones unread'.

--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -84,6 +84,8 @@
         }
     }
 
+    void stop_reading() { connection_->pause(); }
+
     void drop() {
         const auto self = shared_from_this();
         connection_->close();
@@ -202,6 +204,9 @@
             return;
         }
         phase_start_ = server_->clock_.now();
+        if (!server_->reading_) {
+            return;
+        }
         connection_->resume();
         if (!parsing_) {
             dispatch_deferred();
@@ -230,7 +235,9 @@
         phase_start_ = server_ == nullptr ? phase_start_ : server_->clock_.now();
         abandon_all();
         connection_->finish_sending();
-        connection_->resume();
+        if (server_ == nullptr || server_->reading_) {
+            connection_->resume();
+        }
     }
 
     void abandon_all() {
@@ -296,6 +303,16 @@
     draining_ = true;
 }
 
+void http_server::stop_reading() {
+    if (!std::exchange(reading_, false)) {
+        return;
+    }
+    listener_.close();
+    for (const auto& session : sessions_) {
+        session->stop_reading();
+    }
+}
+
 void http_server::sweep(time_point now) {
     const auto sessions = sessions_;
     for (const auto& session : sessions) {
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -48,6 +48,9 @@
     /// From now on connections are closed after their last pending response, so that callers switch to
     /// another daemon.
     void start_draining();
+    /// Reads no more requests and accepts no more connections; pending requests are still answered. A caller
+    /// whose request has not been read can safely send it elsewhere.
+    void stop_reading();
     /// Closes connections that exceed the idle, header or body timeout. Call a few times per second.
     void sweep(time_point now);
     [[nodiscard]] std::size_t session_count() const { return sessions_.size(); }
@@ -63,6 +66,7 @@
     exchange_handler handler_;
     mesh::caller_limits limits_;
     bool draining_ = false;
+    bool reading_ = true;
     std::set<std::shared_ptr<http_session>> sessions_;
     listener listener_;
 };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -622,6 +622,9 @@
     if (now >= work_end_) {
         forwarder_.end_requests();
     }
+    if (now >= work_end_ + settle_time / 2) {
+        callers_.stop_reading();
+    }
     const bool delivered = callers_.undelivered_sessions() == 0 && !peers_.has_undelivered_replies();
     const bool idle = forwarder_.open_requests() == 0 && local_.open_jobs() == 0 && delivered;
     if (!idle) {
--- a/src/sidecar/stream.cpp
+++ b/src/sidecar/stream.cpp
@@ -235,9 +235,15 @@
     accept();
 }
 
+void listener::close() {
+    error_code ignored; // nothing is left to do for a listener that fails to close
+    acceptor_.close(ignored);
+    retry_.cancel();
+}
+
 void listener::accept() {
     acceptor_.async_accept([this](error_code code, tcp::socket socket) {
-        if (code == boost::asio::error::operation_aborted) {
+        if (code == boost::asio::error::operation_aborted || !acceptor_.is_open()) {
             return;
         }
         if (!code) {
--- a/src/sidecar/stream.h
+++ b/src/sidecar/stream.h
@@ -77,6 +77,9 @@
     /// `settings_port_unavailable`.
     listener(boost::asio::io_context& loop, std::string_view address, connection_handler on_connection);
 
+    /// Accepts no more connections; later ones are reset by the kernel.
+    void close();
+
 private:
     void accept();
     tcp::acceptor acceptor_;
--- a/tests/sidecar/http_server_test.cpp
+++ b/tests/sidecar/http_server_test.cpp
@@ -134,6 +134,29 @@
     CHECK(f.wait_for(2));
 }
 
+// Load pattern: a planned stop under load at the end of its grace time. Guards against requests that are read
+// just before the process ends and cut off without a response.
+TEST_CASE("a server that has stopped reading answers pending requests and leaves later ones unread") {
+    fixture f;
+    raw_client busy{f.loop, f.address};
+    raw_client idle{f.loop, f.address};
+    busy.send(post("/1", "a"));
+    REQUIRE(f.wait_for(1));
+    f.server.stop_reading();
+    idle.send(post("/2", "b"));
+    busy.send(post("/3", "c"));
+    run_steps(f.loop, 50);
+    f.answer(0, "first");
+    REQUIRE(busy.expect("first"));
+    run_steps(f.loop, 50);
+    CHECK(f.requests.size() == 1);
+    std::optional<bool> connected;
+    connect_stream(f.loop, to_endpoint(f.address), 5s,
+                   [&](const std::shared_ptr<stream>& connection) { connected = connection != nullptr; });
+    CHECK(run_until(f.loop, [&] { return connected.has_value(); }));
+    CHECK_FALSE(connected.value_or(true));
+}
+
 TEST_CASE("malformed and ambiguously framed requests are rejected and the connection closed") {
     const std::vector<std::string> attempts{
         "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET "
