Send calls on quiet links only when the other daemon answers, and let one daemon of a pair dial

Change: on a link that has been silent for 300 ms (800 ms for safe requests) a call is sent after the answer to a ping; without one within 150 ms it goes to another endpoint, as not run and without use of the retry budget, and all links are pinged. Of a pair without a link the daemon with the smaller name dials; the other waits 500 ms, and longer between attempts: a restarted daemon dials all others itself, so both dialed. Result: silent_link_test 'a request that may not be repeated is not sent on a quiet link ...'; links_test as before.

--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -436,9 +436,10 @@
 void forwarder::on_not_run(const std::shared_ptr<active_request>& item, std::size_t index,
                            const reply_message& reply) {
     const auto now = clock_.now();
-    if (reply.why == mesh::reason::busy) {
-        ++item->busy_answers;
-        counters_.add("busy_answers");
+    if (reply.why == mesh::reason::busy || reply.why == mesh::reason::peer_silent) {
+        item->busy_answers += reply.why == mesh::reason::busy ? 1 : 0;
+        counters_.add(reply.why == mesh::reason::busy ? "busy_answers" : "unsent_peer_silent");
+        item->last_refusal = reply.why;
         if (!item->has_responsive_call(now)) {
             attempt(item);
         }
--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -15,6 +15,12 @@
 constexpr duration ping_after_sent = milliseconds{5000};
 /// The same for an unused link. Each daemon has a link to every other, and most are hardly used.
 constexpr duration ping_after_idle = milliseconds{15000};
+/// A call is sent at once on a link on which something was received within this time. One that may run only
+/// once is not sent blindly for as long as a safe one, which can be repeated elsewhere.
+constexpr duration verified_for_safe = milliseconds{800};
+constexpr duration verified_for_unsafe = milliseconds{300};
+/// Time for the answer to a ping before a call that waits for it goes elsewhere.
+constexpr duration verify_timeout = milliseconds{150};
 /// A link whose ping is unanswered for this long is suspect and avoided for new requests.
 constexpr duration suspect_timeout = milliseconds{250};
 /// A link whose ping is unanswered for this long is retired. TCP retransmits lost packets after 200 to
@@ -52,13 +58,48 @@
         return id;
     }
     call.stream = id;
-    pending_[id] = std::move(done);
-    send(call);
+    const auto now = clock_.now();
+    const auto verified_for = call.kind == mesh::request_kind::safe ? verified_for_safe : verified_for_unsafe;
+    if (now - last_received_ <= verified_for) {
+        pending_[id] = std::move(done);
+        send(call);
+    } else {
+        unverified_[id] = {std::move(call), std::move(done)};
+        verify(now);
+    }
     return id;
 }
 
+void peer_link::verify(time_point now) {
+    if (!ping_sent_ && now - last_received_ > verified_for_unsafe) {
+        ping(now);
+    }
+}
+
+void peer_link::ping(time_point now) {
+    ping_sent_ = now;
+    send(ping_message{static_cast<std::uint64_t>(now.time_since_epoch().count()), false});
+}
+
+void peer_link::send_unverified() {
+    for (auto& [id, waiting] : std::exchange(unverified_, {})) {
+        pending_[id] = std::move(waiting.done);
+        send(waiting.call);
+    }
+}
+
+/// Ends the calls that wait for a ping's answer; they were not sent.
+void peer_link::end_unverified(mesh::reason why) {
+    for (auto& [id, waiting] : std::exchange(unverified_, {})) {
+        reply_message unsent;
+        unsent.outcome = mesh::attempt_outcome::not_run;
+        unsent.why = why;
+        waiting.done(std::move(unsent));
+    }
+}
+
 void peer_link::cancel(std::uint64_t id) {
-    if (pending_.erase(id) > 0) {
+    if (unverified_.erase(id) == 0 && pending_.erase(id) > 0) {
         send(cancel_message{id});
     }
 }
@@ -84,6 +125,7 @@
     last_received_ = clock_.now();
     sent_since_received_ = false;
     ping_sent_.reset();
+    send_unverified();
     try {
         decoder_.feed(bytes);
         while (!ended_) {
@@ -157,6 +199,11 @@
     if (ended_) {
         return;
     }
+    if (!unverified_.empty() && ping_sent_ && now - *ping_sent_ >= verify_timeout) {
+        const auto self = shared_from_this();
+        end_unverified(mesh::reason::peer_silent);
+        events_.on_unverified(self);
+    }
     if (retired_) {
         const bool busy = !pending_.empty() || !serving_.empty() || connection_->sending();
         if (busy) {
@@ -181,8 +228,7 @@
     }
     const auto unused = sent_since_received_ ? ping_after_sent : ping_after_idle;
     if (now - last_received_ > (pending_.empty() ? unused : ping_after_busy)) {
-        ping_sent_ = now;
-        send(ping_message{static_cast<std::uint64_t>(now.time_since_epoch().count()), false});
+        ping(now);
     }
 }
 
@@ -201,6 +247,7 @@
         local_.cancel(local_id);
     }
     events_.on_down(self);
+    end_unverified(mesh::reason::peer_lost);
     for (auto& [id, done] : std::exchange(pending_, {})) {
         reply_message lost;
         lost.outcome = mesh::attempt_outcome::unknown;
--- a/src/sidecar/peer_link.h
+++ b/src/sidecar/peer_link.h
@@ -22,6 +22,8 @@
     virtual void on_announce(const std::shared_ptr<peer_link>& link, announce_message message) = 0;
     virtual void on_fetch(const std::shared_ptr<peer_link>& link, const fetch_message& message) = 0;
     virtual void on_load(const std::shared_ptr<peer_link>& link, const mesh::endpoint_load& load) = 0;
+    /// A call was not sent because the other daemon did not answer a ping.
+    virtual void on_unverified(const std::shared_ptr<peer_link>& link) = 0;
     /// The link has been retired.
     virtual void on_retired(const std::shared_ptr<peer_link>& link) = 0;
     virtual void on_down(const std::shared_ptr<peer_link>& link) = 0;
@@ -35,6 +37,8 @@
               peer_events& events);
     void start();
 
+    /// On a link that has been silent for a while, the call is sent when the other daemon has answered a
+    /// ping. If it does not answer soon, the call ends as not run with reason `peer_silent`.
     std::uint64_t execute(call_message call, reply_handler done) override;
     void cancel(std::uint64_t id) override;
     void send(const peer_message& message);
@@ -61,6 +65,8 @@
     /// calls have ended: the other daemon may only be slow, and closing the link would end runs at both
     /// endpoints.
     [[nodiscard]] bool is_retired() const { return retired_; }
+    /// Pings the other daemon unless it was heard from lately.
+    void verify(time_point now);
     /// True while a reply to a call of the other daemon has not been acknowledged.
     [[nodiscard]] bool has_undelivered_reply();
     /// Pings an idle link, retires one that no longer answers and closes it some time after its last call.
@@ -72,6 +78,9 @@
     void on_data(std::string_view bytes);
     void on_message(peer_message message);
     void on_call(call_message call);
+    void ping(time_point now);
+    void send_unverified();
+    void end_unverified(mesh::reason why);
     void end();
 
     std::shared_ptr<stream> connection_;
@@ -84,6 +93,11 @@
     std::uint64_t next_stream_ = 1;
     std::map<std::uint64_t, reply_handler> pending_; ///< calls sent, by stream
     std::map<std::uint64_t, std::uint64_t> serving_; ///< calls received: local id by stream
+    struct unverified_call {
+        call_message call;
+        reply_handler done;
+    };
+    std::map<std::uint64_t, unverified_call> unverified_; ///< calls that wait for a ping's answer, by stream
     time_point last_received_;
     bool sent_since_received_ = false; ///< pings and their answers do not count
     std::optional<time_point> ping_sent_;
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -12,10 +12,13 @@
 /// Maximum delay between connection attempts to an unreachable daemon, which may be back within a second of
 /// its restart.
 constexpr duration max_dial_backoff = milliseconds{800};
+/// The same for the daemon of a pair that leaves the dialing to the other one. A daemon that has restarted
+/// dials all others itself.
+constexpr duration max_yielding_dial_backoff = milliseconds{2400};
 /// Time for the first announcement on a new connection, which a paused or starting daemon sends late.
 constexpr duration greeting_timeout = std::chrono::seconds{3};
-/// In the first start of the fleet all daemons learn of each other at about the same time. The one with the
-/// smaller name dials; the other waits for this long.
+/// When both daemons of a pair learn at about the same time that they have no link, the one with the smaller
+/// name dials; the other waits for this long.
 constexpr duration dial_precedence = milliseconds{500};
 /// Number of peers that row versions are sent to in each comparison round. On average each daemon receives
 /// two comparisons per round.
@@ -89,7 +92,7 @@
             entry.link.reset();
         }
     }
-    if (is_new && first_start_ && self_.daemon > about.daemon) {
+    if (is_new && first_start_ && !dials_first(entry)) {
         entry.next_dial = clock_.now() + dial_precedence;
     }
     callbacks_.member_update(about);
@@ -105,7 +108,8 @@
         return;
     }
     entry.dialing = true;
-    entry.dial_backoff = std::clamp(entry.dial_backoff * 2, min_dial_backoff, max_dial_backoff);
+    const auto max_backoff = dials_first(entry) ? max_dial_backoff : max_yielding_dial_backoff;
+    entry.dial_backoff = std::clamp(entry.dial_backoff * 2, min_dial_backoff, max_backoff);
     entry.next_dial = now + entry.dial_backoff;
     const auto name = entry.about.daemon;
     connect_stream(loop_, to_endpoint(entry.about.address), connect_timeout,
@@ -130,6 +134,10 @@
     return pending && now - entry.greeting_since < greeting_timeout;
 }
 
+bool peer_set::dials_first(const peer& entry) const {
+    return self_.daemon < entry.about.daemon;
+}
+
 peer* peer_set::find(const std::string& daemon) {
     const auto found = peers_.find(daemon);
     return found == peers_.end() ? nullptr : &found->second;
@@ -382,6 +390,17 @@
     replace_link(link);
 }
 
+/// Other daemons may have failed at the same time, such as a part of the fleet that lost power. Checking all
+/// links now spares the next requests the wait.
+void peer_set::on_unverified(const std::shared_ptr<peer_link>& /*link*/) {
+    const auto now = clock_.now();
+    for (const auto& [name, entry] : peers_) {
+        if (entry.link && entry.about.state == mesh::endpoint_state::ready) {
+            entry.link->verify(now);
+        }
+    }
+}
+
 void peer_set::on_retired(const std::shared_ptr<peer_link>& link) {
     replace_link(link);
 }
@@ -401,7 +420,7 @@
     }
     if (!entry->link) {
         log(event::peer_down, {{"peer", link->daemon()}});
-        entry->next_dial = clock_.now();
+        entry->next_dial = clock_.now() + (dials_first(*entry) ? duration{0} : dial_precedence);
         dial(*entry);
     }
 }
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -83,12 +83,14 @@
     void on_announce(const std::shared_ptr<peer_link>& link, announce_message message) override;
     void on_fetch(const std::shared_ptr<peer_link>& link, const fetch_message& message) override;
     void on_load(const std::shared_ptr<peer_link>& link, const mesh::endpoint_load& load) override;
+    void on_unverified(const std::shared_ptr<peer_link>& link) override;
     void on_retired(const std::shared_ptr<peer_link>& link) override;
     void on_down(const std::shared_ptr<peer_link>& link) override;
 
 private:
     void dial(peer& entry);
     std::shared_ptr<peer_link> add_link(std::shared_ptr<stream> connection);
+    [[nodiscard]] bool dials_first(const peer& entry) const;
     [[nodiscard]] bool awaits_greeting(const peer& entry, time_point now) const;
     void send_hello(peer_link& link);
     bool identify(peer_link& link, const std::vector<mesh::member>& members);
--- a/tests/sidecar/links_test.cpp
+++ b/tests/sidecar/links_test.cpp
@@ -120,6 +120,7 @@
         void on_announce(const std::shared_ptr<peer_link>&, announce_message) override {}
         void on_fetch(const std::shared_ptr<peer_link>&, const fetch_message&) override {}
         void on_load(const std::shared_ptr<peer_link>&, const mesh::endpoint_load&) override {}
+        void on_unverified(const std::shared_ptr<peer_link>&) override {}
         void on_retired(const std::shared_ptr<peer_link>&) override {}
         void on_down(const std::shared_ptr<peer_link>&) override {}
     } events;
--- a/tests/sidecar/silent_link_test.cpp
+++ b/tests/sidecar/silent_link_test.cpp
@@ -133,6 +133,22 @@
     }
 }
 
+// Load pattern: a part of the fleet loses power while links are at rest. Guards against requests that are
+// sent to daemons that are gone, whose callers get 502 because nobody can tell whether they have run.
+TEST_CASE("a request that may not be repeated is not sent on a quiet link that does not answer") {
+    silent_link_fixture f{"unsafe"};
+    f.silent->holding = true;
+    f.pass_silently(500ms);
+    for (int i = 0; i < 10; ++i) {
+        raw_client caller{f.loop, f.front->settings.callers_address};
+        caller.send(read_call("new" + std::to_string(i), 4000ms));
+        f.pass_silently(500ms);
+        CHECK(has(caller, "served by i-vm-b"));
+    }
+    f.run_both(200);
+    CHECK(f.silent->held.empty());
+}
+
 // Guards against closing a retired link right after its last reply was sent: the connection was reset and the
 // reply of a request that had run was lost.
 TEST_CASE("the last reply on a link that its sender has retired arrives") {
