Spend the retry budget on callers who have been refused before

Of the fleet's retry budget only 0.45 was used, as calls of repeated runs count at the next service, and first attempts used it up, although their callers can come back and do so twice: 988 requests were refused three times. Change: requests tell the endpoint's daemon that they are repeated; it charges the calls of its endpoint to the called service by the share of repeated runs, so 0.8 of the budget can be used. Callers who come back are recognized by target and deadline (mesh::return_tracker); they use the budget first, and first attempts use none where callers of the route come back.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -7,6 +7,7 @@
 #include "endive/base.h"
 
 #include <array>
+#include <deque>
 #include <span>
 #include <unordered_map>
 
@@ -513,14 +514,20 @@
 
 // ---- retries ----------------------------------------------------------------------------------------------
 
-/// This daemon's share of the budget for retries to one service, as a token bucket.
+/// This daemon's share of the budget for retries to one service, as a token bucket. Not thread safe.
 class retry_budget {
 public:
     /// Allows `ratio` retries per request and bursts of up to `burst` retries.
     retry_budget(double ratio, double burst) : ratio_{ratio}, burst_{burst}, tokens_{burst} {}
-    void on_request();
+    /// Counts a request. `repeat_share` is the probability that it is a call made by the run of a repeated
+    /// request, which counts as a retry at the called service too. The debt that this leaves is paid by later
+    /// requests.
+    void on_request(double repeat_share = 0);
     /// Takes one retry from the budget; false when it is exhausted.
-    [[nodiscard]] bool take();
+    [[nodiscard]] bool take() { return take(0, false); }
+    /// The same for a request that an endpoint refused, whose caller was refused `refused_before` times
+    /// before. If callers of its route come back, first attempts take no retry and the last ones go first.
+    [[nodiscard]] bool take(std::uint32_t refused_before, bool comes_back);
 
 private:
     double ratio_;
@@ -528,6 +535,46 @@
     double tokens_;
 };
 
+/// Recognizes requests whose callers were refused before and have come back: a caller's later attempts have
+/// the same target and the same deadline, but another id. Not thread safe.
+class return_tracker {
+public:
+    struct earlier_attempts {
+        std::uint32_t refusals = 0;
+        time_point first_arrival;
+        friend auto operator<=>(const earlier_attempts&, const earlier_attempts&) = default;
+    };
+    /// The caller of a request for `target`, a hash, that waits until `deadline` was refused; `attempts`
+    /// includes this one.
+    void on_refused(std::uint64_t target, time_point deadline, const earlier_attempts& attempts,
+                    time_point now);
+    /// The earlier attempts of the caller, which are forgotten; empty for a first attempt.
+    [[nodiscard]] std::optional<earlier_attempts> on_arrival(const std::string& route, std::uint64_t target,
+                                                             time_point deadline, time_point now);
+    /// True when a refused caller of `route` has come back lately.
+    [[nodiscard]] bool comes_back(const std::string& route, time_point now) const;
+    [[nodiscard]] std::size_t size() const { return waiting_.size(); }
+
+private:
+    struct waiting_caller {
+        std::uint64_t target = 0;
+        time_point deadline;
+        earlier_attempts attempts;
+    };
+    std::deque<waiting_caller> waiting_;             ///< in order of refusal
+    std::map<std::string, time_point> last_returns_; ///< by route
+};
+
+/// Share of repeated requests among the latest runs of an endpoint. Not thread safe.
+class repeat_meter {
+public:
+    void on_run(bool repeated);
+    [[nodiscard]] double share() const { return share_; }
+
+private:
+    double share_ = 0;
+};
+
 /// Estimates the time since a caller's first attempt: the first request carries the caller's full timeout,
 /// later ones the time that remains. Callers of one route use different timeouts, so the age is approximate.
 class age_estimator {
--- a/src/mesh/gate.cpp
+++ b/src/mesh/gate.cpp
@@ -43,6 +43,12 @@
 /// the longest one, uniformly distributed. Only less than that indicates an earlier attempt.
 constexpr double min_timeout_ratio = 0.85;
 constexpr double mean_timeout_ratio = (1.0 + min_timeout_ratio) / 2;
+/// Maximum number of retries that a budget owes, so that it recovers within seconds.
+constexpr double max_retry_debt = 10.0;
+/// Weight of the latest run in the share of repeated requests, which covers about the last 30 runs.
+constexpr double repeat_weight = 0.03;
+/// Number of times that callers usually come back after a refusal.
+constexpr std::uint32_t usual_returns = 2;
 /// Minimum retry delay: the load of the endpoint does not change sooner.
 constexpr duration min_retry_after = milliseconds{40};
 
@@ -238,16 +244,24 @@
             ready_};
 }
 
-bool retry_budget::take() {
-    if (tokens_ < 1.0) {
+bool retry_budget::take(std::uint32_t refused_before, bool comes_back) {
+    if (comes_back && refused_before == 0) {
+        return false;
+    }
+    const bool may_come_back = comes_back && refused_before < usual_returns;
+    if (tokens_ < 1.0 + (may_come_back ? (burst_ - 1.0) / 2 : 0.0)) {
         return false;
     }
     tokens_ -= 1.0;
     return true;
 }
 
-void retry_budget::on_request() {
-    tokens_ = std::min(tokens_ + ratio_, burst_);
+void retry_budget::on_request(double repeat_share) {
+    tokens_ = std::clamp(tokens_ + ratio_ - repeat_share, -max_retry_debt, burst_);
+}
+
+void repeat_meter::on_run(bool repeated) {
+    share_ += ((repeated ? 1.0 : 0.0) - share_) * repeat_weight;
 }
 
 duration age_estimator::age(const std::string& route, milliseconds remaining, time_point now) {
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -108,6 +108,7 @@
 void endpoint_service::start(const std::shared_ptr<job>& item) {
     const auto now = clock_.now();
     item->started = now;
+    repeats_.on_run(item->call.repeated);
     item->version = tracker_.current().version;
     item->cold = tracker_.current().cold_remaining > milliseconds{0};
     http_message request;
--- a/src/sidecar/endpoint_service.h
+++ b/src/sidecar/endpoint_service.h
@@ -27,6 +27,8 @@
     /// Sets whether the version of this endpoint has been replaced. A retired endpoint starts no requests.
     void set_retired(bool retired);
     [[nodiscard]] mesh::endpoint_load load() const { return gate_.load(); }
+    /// Share of repeated requests among the latest runs.
+    [[nodiscard]] double repeat_share() const { return repeats_.share(); }
     [[nodiscard]] std::size_t open_jobs() const { return jobs_.size(); }
     [[nodiscard]] const std::vector<mesh::version_evidence>& evidence() const { return evidence_; }
     /// Queries the endpoint's health path for its identity while no heartbeat has reported it.
@@ -56,6 +58,7 @@
     counter_set& counters_;
     mesh::endpoint_tracker tracker_;
     mesh::endpoint_gate gate_;
+    mesh::repeat_meter repeats_;
     endpoint_client client_;
     std::function<void()> on_change_;
     std::uint64_t applied_revision_ = 0;
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -30,9 +30,9 @@
 constexpr std::size_t body_memory_divisor = 6;
 /// Maximum number of refusals of one request before its caller is asked to retry later.
 constexpr std::uint32_t max_refusals = 4;
-/// Fraction of the shared retry budget that is used. Calls made by a retried run count as retries at the
-/// called service, so a chain of two services spends 1.6 times its own retries there.
-constexpr double budget_share = 0.45;
+/// Fraction of the shared retry budget that is used. The rest covers what this daemon can only estimate: the
+/// calls made by repeated runs, which count as retries at the called service.
+constexpr double budget_share = 0.8;
 /// Fraction of the slack that is used, since daemons that have just restarted begin with a full burst.
 constexpr double burst_share = 0.5;
 /// Callers detect within two readiness checks that a daemon is stopping; requests that arrive until then are
@@ -105,6 +105,11 @@
     mesh::reason why = mesh::reason::none;
     duration elapsed{0};
 
+    /// True when the request may have reached the endpoint, which may have refused it.
+    [[nodiscard]] bool may_have_arrived() const {
+        return outcome != outcome_name(mesh::attempt_outcome::not_run) ||
+               why == mesh::reason::endpoint_refused || why == mesh::reason::wrong_endpoint;
+    }
     void end(mesh::attempt_outcome how, mesh::reason reason, time_point now) {
         outcome = outcome_name(how);
         why = reason;
@@ -133,7 +138,10 @@
     time_point arrived;
     time_point deadline;
     std::size_t body_bytes = 0;
-    duration age{0}; ///< since the caller's first request, at arrival
+    duration age{0};                  ///< since the caller's first request, at arrival
+    std::uint64_t target = 0;         ///< hash of host and target
+    time_point caller_deadline;       ///< without the route's timeout
+    std::uint32_t refused_before = 0; ///< earlier attempts of the caller that were refused
     version_choice version;
     std::vector<attempt_trace> attempts;
     std::uint32_t sent = 0; ///< ended attempts that reached an endpoint or may have done so
@@ -212,7 +220,18 @@
         parse_milliseconds(find_header(request.headers, platform_wire::remaining_time_header));
     const auto allowed = std::min(remaining.value_or(default_timeout), item->route->timeout);
     item->deadline = item->arrived + allowed;
-    item->age = remaining ? ages_.age(item->route->name, *remaining, item->arrived) : duration{0};
+    item->target = stable_hash(request.target, stable_hash(find_header(request.headers, "Host")));
+    item->caller_deadline = item->arrived + remaining.value_or(default_timeout);
+    if (remaining) {
+        item->age = ages_.age(item->route->name, *remaining, item->arrived);
+    }
+    const auto earlier =
+        returns_.on_arrival(item->route->name, item->target, item->caller_deadline, item->arrived);
+    if (earlier) {
+        counters_.add("returned_callers");
+        item->refused_before = earlier->refusals;
+        item->age = item->arrived - earlier->first_arrival;
+    }
     const bool noticed = stop_ && item->arrived - stop_->begin > stop_notice_time;
     const bool ending = stop_ && item->arrived >= stop_->end;
     if (ending || (noticed && item->deadline > stop_->end)) {
@@ -222,7 +241,9 @@
     item->service = item->route->parts[splits_.choose(*item->route)].service;
     item->headers = forwarded_headers(request.headers, settings_.service);
     item->version = moves_.choose(item->service, clock_.now());
-    retry_budget_for(item->service).on_request();
+    // A request to another service may be a call by this VM's endpoint.
+    retry_budget_for(item->service)
+        .on_request(item->service == settings_.service ? 0.0 : local_.repeat_share());
     attempt(item);
 }
 
@@ -332,6 +353,8 @@
     call.waited = std::chrono::duration_cast<milliseconds>(now - item.arrived + item.age);
     call.priority = item.route->priority;
     call.kind = item.route->kind;
+    call.repeated = std::any_of(item.attempts.begin(), item.attempts.end(),
+                                [](const attempt_trace& attempt) { return attempt.may_have_arrived(); });
     return call;
 }
 
@@ -357,10 +380,10 @@
     const auto& target = options[*chosen];
     const auto daemon = target.about->daemon;
     const auto load_age = target.remote == nullptr ? duration{0} : now - target.remote->load_time;
+    auto call = make_call(*item, *target.about, now); // before the attempt is recorded
     item->attempts.push_back(
         {daemon, mesh::expected_time(target.facts, criteria), target.facts.load.outstanding, load_age, now});
     const auto index = item->attempts.size() - 1;
-    auto call = make_call(*item, *target.about, now);
     call.only_if_free = !mesh::may_wait(target.facts, criteria, options.size(), item->busy_answers);
     auto done = [this, item, index](reply_message reply) {
         const auto ended =
@@ -458,7 +481,9 @@
         reply.why == mesh::reason::endpoint_refused || reply.why == mesh::reason::wrong_endpoint;
     // A request refused by the endpoint itself did arrive there, so another attempt counts against the shared
     // retry budget.
-    const bool allowed = !reached_endpoint || retry_budget_for(item->service).take();
+    const bool comes_back = returns_.comes_back(item->route->name, now);
+    const bool allowed =
+        !reached_endpoint || retry_budget_for(item->service).take(item->refused_before, comes_back);
     if (allowed && item->refusals < max_refusals) {
         attempt(item);
         return;
@@ -499,6 +524,10 @@
     std::snprintf(text.data(), text.size(), "%.3f", seconds);
     response.headers.push_back({"Retry-After", text.data()});
     counters_.add("refused_" + std::string{to_string(why)});
+    if (item->route != nullptr) {
+        returns_.on_refused(item->target, item->caller_deadline,
+                            {item->refused_before + 1, item->arrived - item->age}, clock_.now());
+    }
     log_outcome(event::request_refused, *item, response.status, why);
     answer(item, std::move(response));
 }
@@ -532,6 +561,7 @@
                {"route", item.route == nullptr ? std::string{} : item.route->name},
                {"service", item.service},
                {"age_ms", to_ms(item.age)},
+               {"refused_before", item.refused_before},
                {"allowed_ms", item.route == nullptr ? 0.0 : to_ms(item.deadline - item.arrived)},
                {"status", status},
                {"reason", to_string(why)},
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -74,6 +74,7 @@
     std::uint64_t random_ = 0x9e3779b97f4a7c15ULL;
     std::map<std::string, mesh::retry_budget> retry_budgets_;
     mesh::age_estimator ages_;
+    mesh::return_tracker returns_;
     std::set<std::shared_ptr<active_request>> open_;
     struct stop_times {
         time_point begin;
--- a/src/sidecar/messages.cpp
+++ b/src/sidecar/messages.cpp
@@ -55,7 +55,7 @@
                              body, route, static_cast<std::uint32_t>(value.remaining.count()),
                              static_cast<std::uint32_t>(value.latency_target.count()),
                              static_cast<std::uint32_t>(value.waited.count()), value.priority,
-                             static_cast<std::uint8_t>(value.kind), value.only_if_free)
+                             static_cast<std::uint8_t>(value.kind), value.only_if_free, value.repeated)
                 .Union()};
 }
 
@@ -212,7 +212,8 @@
             milliseconds{value.waited_ms()},
             value.priority(),
             static_cast<mesh::request_kind>(value.kind()),
-            value.only_if_free()};
+            value.only_if_free(),
+            value.repeated()};
 }
 
 reply_message decode(const wire::reply& value) {
--- a/src/sidecar/messages.h
+++ b/src/sidecar/messages.h
@@ -27,6 +27,7 @@
     std::uint32_t priority = 0;
     mesh::request_kind kind = mesh::request_kind::unsafe;
     bool only_if_free = false; ///< answered `busy` when the endpoint has no free slot
+    bool repeated = false;     ///< another endpoint has been sent this request before
 };
 
 /// The caller of an earlier call message has disconnected.
