Bound incomplete messages of all links and incomplete requests of all callers

Cause: each link could hold a frame of 72 MB without a time limit, and each caller a body of the configured size for 60 s; nothing bounded their sums, which at 196 links exceed the memory of a VM many times. Change: incomplete messages take an eighth of memory_mb over all links, incomplete requests another eighth over all callers; the largest is ended, a request with 503. A message that is incomplete for 30 s ends its link. The parts of memory_mb are worked out in one place. Result: links_test 'a link is closed when a message stays incomplete ...', http_server_test 'the largest incomplete request is rejected ...'; not run against the code before.

--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -15,7 +15,6 @@
 /// Consecutive failed connection attempts after which the endpoint is considered absent until its next
 /// heartbeat.
 constexpr std::uint32_t connect_failures_until_absent = 2;
-constexpr std::size_t bytes_per_mb = 1024UL * 1024;
 /// Timeout of a health check, which may wait for a slot of the endpoint.
 constexpr duration probe_timeout = std::chrono::seconds{3};
 /// Maximum body size of the response to a health check, which is not used.
@@ -53,8 +52,7 @@
 endpoint_service::endpoint_service(boost::asio::io_context& loop, const clock_source& clock,
                                    counter_set& counters, const sidecar_settings& settings)
     : clock_{clock}, counters_{counters}, tracker_{settings.service, settings.endpoint_address},
-      client_{loop, clock, settings.endpoint_address,
-              static_cast<std::size_t>(settings.memory_mb) * bytes_per_mb / response_memory_divisor} {}
+      client_{loop, clock, settings.endpoint_address, settings.memory_part(response_memory_divisor)} {}
 
 std::uint64_t endpoint_service::execute(call_message call, reply_handler done) {
     const auto now = clock_.now();
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -578,8 +578,7 @@
 }
 
 std::size_t forwarder::max_held_bytes() const {
-    constexpr std::size_t bytes_per_mb = 1024UL * 1024;
-    return static_cast<std::size_t>(settings_.memory_mb) * bytes_per_mb / body_memory_divisor;
+    return settings_.memory_part(body_memory_divisor);
 }
 
 void forwarder::cancel_calls(active_request& item) {
--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -26,6 +26,7 @@
 
 constexpr unsigned status_request_timeout = 408;
 constexpr unsigned status_internal_error = 500;
+constexpr unsigned status_unavailable = 503;
 
 bool is_safe_method(std::string_view method) {
     return method == "GET" || method == "HEAD";
@@ -86,6 +87,22 @@
 
     void stop_reading() { connection_->pause(); }
 
+    /// Bytes of requests that have not been handed over.
+    [[nodiscard]] std::size_t buffered_bytes() const {
+        return closing_ ? 0 : input_.size() + (reader_ ? reader_->message().body.size() : 0);
+    }
+
+    void reject_incomplete() {
+        input_.clear();
+        reader_.reset();
+        deferred_.reset();
+        if (pending_.empty()) {
+            reject(status_unavailable, "memory");
+        } else {
+            drop();
+        }
+    }
+
     void drop() {
         const auto self = shared_from_this();
         connection_->close();
@@ -318,6 +335,24 @@
     for (const auto& session : sessions) {
         session->sweep(now);
     }
+    limit_buffered();
+}
+
+void http_server::limit_buffered() {
+    for (;;) {
+        std::size_t total = 0;
+        std::shared_ptr<http_session> largest;
+        for (const auto& session : sessions_) {
+            total += session->buffered_bytes();
+            if (!largest || session->buffered_bytes() > largest->buffered_bytes()) {
+                largest = session;
+            }
+        }
+        if (total <= max_buffered_bytes_) {
+            return;
+        }
+        largest->reject_incomplete();
+    }
 }
 
 std::size_t http_server::open_exchanges() const {
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -7,6 +7,7 @@
 
 #include "endive/mesh.h"
 
+#include <limits>
 #include <set>
 
 namespace endive::sidecar {
@@ -48,10 +49,13 @@
     /// From now on connections are closed after their last pending response, so that callers switch to
     /// another daemon.
     void start_draining();
+    /// Limit for the bytes of all requests that have not been read whole.
+    void set_buffer_limit(std::size_t bytes) { max_buffered_bytes_ = bytes; }
     /// Reads no more requests and accepts no more connections; pending requests are still answered. A caller
     /// whose request has not been read can safely send it elsewhere.
     void stop_reading();
-    /// Closes connections that exceed the idle, header or body timeout. Call a few times per second.
+    /// Closes connections that exceed the idle, header or body timeout, and rejects the largest incomplete
+    /// requests with 503 when they take too much memory. Call a few times per second.
     void sweep(time_point now);
     [[nodiscard]] std::size_t session_count() const { return sessions_.size(); }
     /// Number of requests that have been received but not answered yet.
@@ -61,12 +65,14 @@
 
 private:
     friend class http_session;
+    void limit_buffered();
     void add_session(std::shared_ptr<stream> connection);
     const clock_source& clock_;
     exchange_handler handler_;
     mesh::caller_limits limits_;
     bool draining_ = false;
     bool reading_ = true;
+    std::size_t max_buffered_bytes_ = std::numeric_limits<std::size_t>::max();
     std::set<std::shared_ptr<http_session>> sessions_;
     listener listener_;
 };
--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -15,6 +15,9 @@
 constexpr duration ping_after_sent = milliseconds{5000};
 /// The same for an unused link. Each daemon has a link to every other, and most are hardly used.
 constexpr duration ping_after_idle = milliseconds{15000};
+/// Maximum time from the first byte of a message to the last. No call lasts longer, and a row of the maximum
+/// size takes some seconds on a slow link.
+constexpr duration message_timeout = std::chrono::seconds{30};
 /// A call is sent at once on a link on which something was received within this time. One that may run only
 /// once is not sent blindly for as long as a safe one, which can be repeated elsewhere.
 constexpr duration verified_for_safe = milliseconds{800};
@@ -133,15 +136,26 @@
             if (!frame) {
                 break;
             }
+            incomplete_since_.reset();
             on_message(decode_message(*frame));
         }
     } catch (const error& cause) {
-        log(event::peer_message_malformed,
-            {{"peer", daemon_}, {"code", number(cause.code())}, {"reason", cause.what()}});
-        close();
+        reject(cause.what());
+        return;
+    }
+    if (decoder_.buffered() == 0) {
+        incomplete_since_.reset();
+    } else if (!incomplete_since_) {
+        incomplete_since_ = last_received_;
     }
 }
 
+void peer_link::reject(std::string_view why) {
+    log(event::peer_message_malformed,
+        {{"peer", daemon_}, {"buffered_bytes", decoder_.buffered()}, {"reason", why}});
+    close();
+}
+
 void peer_link::on_message(peer_message message) {
     const auto self = shared_from_this();
     if (auto* call = std::get_if<call_message>(&message)) {
@@ -204,6 +218,10 @@
         end_unverified(mesh::reason::peer_silent);
         events_.on_unverified(self);
     }
+    if (incomplete_since_ && now - *incomplete_since_ > message_timeout) {
+        reject("incomplete for too long");
+        return;
+    }
     if (retired_) {
         const bool busy = !pending_.empty() || !serving_.empty() || connection_->sending();
         if (busy) {
--- a/src/sidecar/peer_link.h
+++ b/src/sidecar/peer_link.h
@@ -59,6 +59,10 @@
         daemon_start_ = member.daemon_start_unix_ms;
     }
     [[nodiscard]] bool is_open() const { return connection_->is_open(); }
+    /// Bytes of a message that is not complete yet.
+    [[nodiscard]] std::size_t buffered_bytes() const { return decoder_.buffered(); }
+    /// Closes the link because of what the other daemon sent; `why` goes into the log.
+    void reject(std::string_view why);
     /// A ping has been unanswered for longer than the suspect timeout.
     [[nodiscard]] bool is_suspect(time_point now) const;
     /// The other daemon has not answered for long, so the link takes no new calls. It stays open until its
@@ -88,6 +92,7 @@
     call_target& local_;
     peer_events& events_;
     frame_decoder decoder_{max_message_bytes};
+    std::optional<time_point> incomplete_since_; ///< first byte of a message that is not complete yet
     std::string daemon_;
     std::int64_t daemon_start_ = 0;
     std::uint64_t next_stream_ = 1;
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -26,6 +26,8 @@
 /// A requested row is requested from another peer when nothing has arrived on the link for this long. TCP
 /// retransmits lost packets after 200 to 400 ms, so the timeout allows for two consecutive retransmissions.
 constexpr duration fetch_stall_timeout = milliseconds{1000};
+/// Incomplete messages may take the process's memory divided by this.
+constexpr std::size_t message_memory_divisor = 8;
 /// A daemon that has been unreachable for this long counts as permanently gone.
 constexpr duration expiry_timeout = std::chrono::seconds{60};
 
@@ -34,12 +36,11 @@
 peer_set::peer_set(boost::asio::io_context& loop, const clock_source& clock, const sidecar_settings& settings,
                    counter_set& counters, endpoint_service& local, const mesh::row_replica& rows,
                    const mesh::row_changes& changes, handlers callbacks)
-    : loop_{loop}, clock_{clock},
-      first_start_{settings.first_start}, counters_{counters}, local_{local}, rows_{rows}, changes_{changes},
-      callbacks_{std::move(callbacks)}, listener_{loop, settings.peers_address,
-                                                  [this](std::shared_ptr<stream> connection) {
-                                                      add_link(std::move(connection));
-                                                  }} {}
+    : loop_{loop}, clock_{clock}, first_start_{settings.first_start},
+      max_buffered_bytes_{settings.memory_part(message_memory_divisor)}, counters_{counters}, local_{local},
+      rows_{rows}, changes_{changes}, callbacks_{std::move(callbacks)},
+      listener_{loop, settings.peers_address,
+                [this](std::shared_ptr<stream> connection) { add_link(std::move(connection)); }} {}
 
 std::shared_ptr<peer_link> peer_set::add_link(std::shared_ptr<stream> connection) {
     auto link = std::make_shared<peer_link>(std::move(connection), clock_, local_, *this);
@@ -430,6 +431,7 @@
     for (const auto& link : links) {
         link->tick(now);
     }
+    limit_buffered();
     for (auto& [name, entry] : peers_) {
         if (entry.link) {
             entry.unreachable_since.reset();
@@ -443,6 +445,25 @@
     fetch_missing(now);
 }
 
+/// Bounds the memory of incomplete messages on all links together. Between two calls a VM's network link
+/// delivers at most some megabytes.
+void peer_set::limit_buffered() {
+    const auto size_of = [](const std::shared_ptr<peer_link>& link) { return link->buffered_bytes(); };
+    for (;;) {
+        std::size_t total = 0;
+        for (const auto& link : links_) {
+            total += size_of(link);
+        }
+        if (total <= max_buffered_bytes_) {
+            return;
+        }
+        const auto largest =
+            *std::max_element(links_.begin(), links_.end(),
+                              [&](const auto& a, const auto& b) { return size_of(a) < size_of(b); });
+        largest->reject("incomplete messages take too much memory");
+    }
+}
+
 /// Requests rows that peers hold and that the store has not delivered within the fetch delay.
 void peer_set::fetch_missing(time_point now) {
     for (const auto& request : missing_.open_requests()) {
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -90,6 +90,7 @@
 private:
     void dial(peer& entry);
     std::shared_ptr<peer_link> add_link(std::shared_ptr<stream> connection);
+    void limit_buffered();
     [[nodiscard]] bool dials_first(const peer& entry) const;
     [[nodiscard]] bool awaits_greeting(const peer& entry, time_point now) const;
     void send_hello(peer_link& link);
@@ -106,6 +107,7 @@
     boost::asio::io_context& loop_;
     const clock_source& clock_;
     bool first_start_;
+    std::size_t max_buffered_bytes_;
     counter_set& counters_;
     endpoint_service& local_;
     const mesh::row_replica& rows_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -13,6 +13,8 @@
 constexpr duration slow_tick_interval = milliseconds{100};
 /// Maximum body size of requests that the daemon handles itself, such as heartbeats.
 constexpr std::uint64_t max_own_request_bytes = 64UL * 1024;
+/// Requests of callers that have not been read whole may take the process's memory divided by this.
+constexpr std::size_t incomplete_memory_divisor = 8;
 constexpr duration store_timeout = milliseconds{3000};
 constexpr duration reader_selection_interval = milliseconds{200};
 /// Interval of re-reading the member rows, to find daemons that no peer has announced.
@@ -98,6 +100,7 @@
             server->set_limits({.body_bytes = max_own_request_bytes});
         }
     }
+    callers_.set_buffer_limit(settings_.memory_part(incomplete_memory_divisor));
     self_.daemon = settings_.name;
     self_.daemon_start_unix_ms = to_unix_ms(clock_.wall_now());
     self_.address = settings_.advertised_peer_address.empty() ? settings_.peers_address
--- a/tests/sidecar/http_server_test.cpp
+++ b/tests/sidecar/http_server_test.cpp
@@ -134,6 +134,23 @@
     CHECK(f.wait_for(2));
 }
 
+// Guards against callers that send bodies slowly or not to their end on many connections, whose bytes
+// together take the memory of the process.
+TEST_CASE("the largest incomplete request is rejected when all together are too large") {
+    fixture f;
+    f.server.set_buffer_limit(100'000);
+    const std::string head = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 90000\r\n\r\n";
+    raw_client small{f.loop, f.address};
+    raw_client large{f.loop, f.address};
+    small.send(head + std::string(40'000, 'x'));
+    large.send(head + std::string(80'000, 'x'));
+    run_steps(f.loop, 200);
+    f.server.sweep(f.clock.now());
+    CHECK(large.expect("503"));
+    small.send(std::string(50'000, 'x'));
+    CHECK(f.wait_for(1));
+}
+
 // Load pattern: a planned stop under load at the end of its grace time. Guards against requests that are read
 // just before the process ends and cut off without a response.
 TEST_CASE("a server that has stopped reading answers pending requests and leaves later ones unread") {
--- a/tests/sidecar/links_test.cpp
+++ b/tests/sidecar/links_test.cpp
@@ -111,6 +111,30 @@
     }
 }
 
+// Guards against a frame that arrives byte by byte and holds its link and its memory without end.
+TEST_CASE("a link is closed when a message stays incomplete or when incomplete ones are too large") {
+    boost::asio::io_context loop;
+    manual_clock clock;
+    store_stand_in store{loop, clock};
+    constexpr std::int64_t memory_mb = 16;
+    const vm daemon{loop, clock, store, "vm-a", "web", memory_mb};
+    const std::string start_of_frame{"\x00\x00\x00\x04", 4}; // length of 64 MiB
+    raw_client trickling{loop, daemon.settings.peers_address};
+    trickling.send(start_of_frame);
+    for (int i = 0; i < 320; ++i) {
+        trickling.send("x");
+        clock.advance(100ms);
+        run_steps(loop, 3);
+    }
+    CHECK(run_until(loop, [&] { return trickling.ended(); }));
+    raw_client large{loop, daemon.settings.peers_address};
+    large.send(start_of_frame + std::string(3UL * 1024 * 1024, 'x'));
+    CHECK(run_until(loop, [&] {
+        clock.advance(10ms);
+        return large.ended();
+    }));
+}
+
 // Load pattern: a fleet at rest. Guards against pings on links that nobody uses, whose number grows with the
 // square of the fleet.
 TEST_CASE("an unused link is pinged each 15 s, one with unanswered data after 5 s") {
