Send safe requests that take long to a second endpoint from the unused retry budget

A run that its caller gave up said nothing about the endpoint's speed either. Change: after 0.65 of its latency target a safe request also goes to a second endpoint with a free slot, as long as the upper half of the retry budget holds a retry. The time of a run that is ended before its answer counts once it exceeds what was expected.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -528,6 +528,8 @@
     /// The same for a request that an endpoint refused, whose caller was refused `refused_before` times
     /// before. If callers of its route come back, first attempts take no retry and the last ones go first.
     [[nodiscard]] bool take(std::uint32_t refused_before, bool comes_back);
+    /// Takes one retry only if the upper half of the bucket holds it.
+    [[nodiscard]] bool take_spare();
 
 private:
     double ratio_;
@@ -535,6 +537,10 @@
     double tokens_;
 };
 
+/// True when a safe request that was sent to an endpoint `elapsed` ago is to be sent to a second one as well:
+/// the first endpoint is slow or its answer is lost, and another one may still answer in time.
+[[nodiscard]] bool is_overdue(duration elapsed, duration latency_target);
+
 /// Recognizes requests whose callers were refused before and have come back: a caller's later attempts have
 /// the same target and the same deadline, but another id. Not thread safe.
 class return_tracker {
--- a/src/mesh/gate.cpp
+++ b/src/mesh/gate.cpp
@@ -49,6 +49,9 @@
 constexpr double repeat_weight = 0.03;
 /// Number of times that callers usually come back after a refusal.
 constexpr std::uint32_t usual_returns = 2;
+/// Few runs take longer than this ratio of their latency target, and the rest of it suffices for many runs at
+/// another endpoint.
+constexpr double overdue_ratio = 0.65;
 /// Minimum retry delay: the load of the endpoint does not change sooner.
 constexpr duration min_retry_after = milliseconds{40};
 
@@ -256,6 +259,10 @@
     return true;
 }
 
+bool retry_budget::take_spare() {
+    return tokens_ >= 1.0 + (burst_ - 1.0) / 2 && take();
+}
+
 void retry_budget::on_request(double repeat_share) {
     tokens_ = std::clamp(tokens_ + ratio_ - repeat_share, -max_retry_debt, burst_);
 }
@@ -264,6 +271,10 @@
     share_ += ((repeated ? 1.0 : 0.0) - share_) * repeat_weight;
 }
 
+bool is_overdue(duration elapsed, duration latency_target) {
+    return latency_target > duration{0} && elapsed >= scaled(latency_target, overdue_ratio);
+}
+
 duration age_estimator::age(const std::string& route, milliseconds remaining, time_point now) {
     auto& longest = routes_[route];
     const bool expired = now - longest.seen > longest_timeout_lifetime;
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -218,6 +218,15 @@
     reply(item, std::move(message));
 }
 
+/// The time of a run that was ended before its response, if it already exceeds what is expected: without it
+/// an endpoint whose callers give up would still look fast.
+std::optional<duration> endpoint_service::unfinished_service_time(const job& item) const {
+    const auto elapsed = clock_.now() - *item.started;
+    const auto slowness = gate_.load().slowness;
+    const auto expected = std::chrono::duration<double, std::nano>(item.call.latency_target) * slowness;
+    return slowness > 0 && elapsed > expected ? std::optional{elapsed} : std::nullopt;
+}
+
 void endpoint_service::release_slot(const std::shared_ptr<job>& item, std::optional<duration> service_time) {
     apply(gate_.finish(item->id, service_time, clock_.now()));
 }
@@ -231,7 +240,7 @@
     jobs_.erase(found);
     if (item->started) {
         client_.cancel(item->client_id);
-        release_slot(item, std::nullopt);
+        release_slot(item, unfinished_service_time(*item));
     } else {
         gate_.remove(id);
     }
@@ -259,7 +268,7 @@
         message.why = mesh::reason::timed_out;
         record_evidence(*item, true, now - *item->started);
         reply(item, std::move(message));
-        release_slot(item, std::nullopt);
+        release_slot(item, unfinished_service_time(*item));
     }
     if (gate_.waiting() > 0) {
         apply(gate_.advance(now));
--- a/src/sidecar/endpoint_service.h
+++ b/src/sidecar/endpoint_service.h
@@ -46,6 +46,7 @@
     void on_result(const std::shared_ptr<job>& item, endpoint_result result);
     void reply(const std::shared_ptr<job>& item, reply_message message);
     void refuse(const std::shared_ptr<job>& item, mesh::reason why, duration retry_after);
+    [[nodiscard]] std::optional<duration> unfinished_service_time(const job& item) const;
     void release_slot(const std::shared_ptr<job>& item, std::optional<duration> service_time);
     void log_unanswered(const job& item, const reply_message& message) const;
     void record_evidence(const job& item, bool failed, duration latency);
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -152,6 +152,7 @@
     mesh::reason last_refusal = mesh::reason::no_endpoint;
     std::vector<open_call> calls;  ///< more than one when the link of an attempt became suspect
     time_point next_replacement{}; ///< when another endpoint may be asked next while all links are suspect
+    bool hedged = false;           ///< a second endpoint was asked because the first one is slow
     std::optional<reply_message> failed_answer; ///< the endpoint's error response, if no retry succeeds
 
     void record_refusal(mesh::reason why, duration wait) {
@@ -358,7 +359,7 @@
     return call;
 }
 
-void forwarder::attempt(const std::shared_ptr<active_request>& item) {
+void forwarder::attempt(const std::shared_ptr<active_request>& item, bool only_if_free) {
     const auto now = clock_.now();
     if (now >= item->deadline) {
         tick(now);
@@ -384,7 +385,8 @@
     item->attempts.push_back(
         {daemon, mesh::expected_time(target.facts, criteria), target.facts.load.outstanding, load_age, now});
     const auto index = item->attempts.size() - 1;
-    call.only_if_free = !mesh::may_wait(target.facts, criteria, options.size(), item->busy_answers);
+    call.only_if_free =
+        only_if_free || !mesh::may_wait(target.facts, criteria, options.size(), item->busy_answers);
     auto done = [this, item, index](reply_message reply) {
         const auto ended =
             std::erase_if(item->calls, [&](const open_call& entry) { return entry.attempt == index; });
@@ -620,6 +622,34 @@
     }
 }
 
+/// True when the only attempt of a safe request takes so long that a second endpoint may answer sooner.
+bool forwarder::is_overdue(const active_request& item, time_point now) const {
+    return !item.hedged && item.calls.size() == 1 && item.route->kind == mesh::request_kind::safe &&
+           mesh::is_overdue(now - item.attempts[item.calls.front().attempt].sent, item.route->latency_target);
+}
+
+/// Sends overdue requests to a second endpoint that has a free slot, as long as the retry budget is hardly
+/// used.
+void forwarder::hedge_overdue_attempts(time_point now) {
+    std::vector<std::shared_ptr<active_request>> overdue;
+    for (const auto& item : open_) {
+        if (is_overdue(*item, now)) {
+            overdue.push_back(item);
+        }
+    }
+    for (const auto& item : overdue) {
+        const bool time_left = now + item->route->latency_target / 4 < item->deadline;
+        const bool allowed = time_left && item->attempts_used() < item->route->max_attempts;
+        if (!is_overdue(*item, now) || !allowed || options_for(*item).empty() ||
+            !retry_budget_for(item->service).take_spare()) {
+            continue;
+        }
+        item->hedged = true;
+        counters_.add("hedged");
+        attempt(item, true);
+    }
+}
+
 void forwarder::end_requests() {
     const auto ended = open_;
     for (const auto& item : ended) {
@@ -635,6 +665,7 @@
 
 void forwarder::tick(time_point now) {
     replace_suspect_attempts(now);
+    hedge_overdue_attempts(now);
     std::vector<std::shared_ptr<active_request>> expired;
     for (const auto& item : open_) {
         if (item->route != nullptr && item->deadline <= now) {
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -29,7 +29,8 @@
 private:
     struct active_request;
     struct endpoint_option;
-    void attempt(const std::shared_ptr<active_request>& item);
+    /// Sends the request to the best endpoint; with `only_if_free` it does not wait there.
+    void attempt(const std::shared_ptr<active_request>& item, bool only_if_free = false);
     [[nodiscard]] std::vector<endpoint_option> options_for(const active_request& item) const;
     /// Removes endpoints that recently rejected a similar request for lack of capacity and would reject this
     /// one.
@@ -53,6 +54,8 @@
     /// Also sends safe requests whose attempts are all on suspect links to another endpoint, if one is
     /// available. The first response is delivered.
     void replace_suspect_attempts(time_point now);
+    [[nodiscard]] bool is_overdue(const active_request& item, time_point now) const;
+    void hedge_overdue_attempts(time_point now);
     [[nodiscard]] bool needs_replacement(const active_request& item, time_point now) const;
     /// Removes an ended request and its body from the accounting.
     void release(const std::shared_ptr<active_request>& item);
