Bind a deregistration also while the endpoint is unknown

Cause: a daemon that has just restarted does not know its endpoint. Change: such a departure binds the start that the deregistration tells, otherwise all starts up to its time. Result: membership_test 'a deregistration binds also while the endpoint is unknown' and '... known by its health check only'.

--- a/src/mesh/membership.cpp
+++ b/src/mesh/membership.cpp
@@ -81,9 +81,11 @@
     return true;
 }
 
-bool endpoint_tracker::on_deregister(std::string_view endpoint_id) {
+bool endpoint_tracker::on_deregister(std::string_view endpoint_id, std::int64_t not_after_unix_ms) {
     const bool current = endpoint_id == current_.endpoint_id;
-    departed_[std::string{endpoint_id}] = current ? current_.start_unix_ms : 0;
+    const bool start_known = current && current_.start_unix_ms != 0;
+    auto& departed = departed_[std::string{endpoint_id}];
+    departed = std::max(departed, start_known ? current_.start_unix_ms : not_after_unix_ms);
     if (current) {
         set_state(endpoint_state::draining);
     }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -181,7 +181,10 @@
 
 void sidecar::on_deregister(const std::shared_ptr<exchange>& request, const std::string& endpoint_id) {
     bool known = false;
-    local_.update([&](mesh::endpoint_tracker& tracker) { known = tracker.on_deregister(endpoint_id); });
+    const auto start = platform_wire::decode_deregister_start(request->request().body);
+    const auto not_after = start.value_or(to_unix_ms(clock_.wall_now()));
+    local_.update(
+        [&](mesh::endpoint_tracker& tracker) { known = tracker.on_deregister(endpoint_id, not_after); });
     log(event::endpoint_deregistered, {{"endpoint", endpoint_id}, {"current", known}});
     request->respond(json_response(status_ok, json::object()));
 }
--- a/tests/mesh/membership_test.cpp
+++ b/tests/mesh/membership_test.cpp
@@ -39,7 +39,7 @@
 TEST_CASE("an endpoint may restart with the same id and a new sequence") {
     auto endpoint = tracker();
     REQUIRE(endpoint.on_heartbeat(beat("i-1", 1000, 90), start));
-    REQUIRE(endpoint.on_deregister("i-1"));
+    REQUIRE(endpoint.on_deregister("i-1", 5000));
     CHECK(endpoint.on_heartbeat(beat("i-1", 3000, 1), start));
     CHECK(endpoint.is_ready());
 }
@@ -47,11 +47,31 @@
 TEST_CASE("an endpoint that deregistered and still sends heartbeats stays draining") {
     auto endpoint = tracker();
     REQUIRE(endpoint.on_heartbeat(beat("i-1", 1000, 1), start));
-    REQUIRE(endpoint.on_deregister("i-1"));
+    REQUIRE(endpoint.on_deregister("i-1", 5000));
     CHECK(endpoint.on_heartbeat(beat("i-1", 1000, 2), start));
     CHECK(endpoint.current().state == endpoint_state::draining);
 }
 
+// Guards against using an endpoint that deregistered right after a restart of its daemon, which did not know
+// it yet, once a delayed heartbeat from before arrives (orsb-fes-grown, hunt-c50a-7).
+TEST_CASE("a deregistration binds also while the endpoint is unknown") {
+    auto endpoint = tracker();
+    CHECK_FALSE(endpoint.on_deregister("i-1", 5000));
+    CHECK(endpoint.on_heartbeat(beat("i-1", 1000, 23), start));
+    CHECK(endpoint.current().state == endpoint_state::draining);
+    CHECK(endpoint.on_heartbeat(beat("i-1", 6000, 1), start));
+    CHECK(endpoint.is_ready());
+}
+
+TEST_CASE("a deregistration binds an endpoint that is known by its health check only") {
+    auto endpoint = tracker();
+    endpoint.on_health("i-1", true, 4);
+    REQUIRE(endpoint.is_ready());
+    CHECK(endpoint.on_deregister("i-1", 5000));
+    endpoint.on_heartbeat(beat("i-1", 1000, 23), start);
+    CHECK(endpoint.current().state == endpoint_state::draining);
+}
+
 TEST_CASE("a heartbeat of another service or address is rejected") {
     auto endpoint = tracker();
     auto forged = beat("i-9", 9000, 1);
--- a/tests/platform_wire/wire_test.cpp
+++ b/tests/platform_wire/wire_test.cpp
@@ -145,3 +145,10 @@
         CHECK(decode_rollout_status(encode_rollout_status(status)) == status);
     }
 }
+
+TEST_CASE("a deregistration may tell the start of its endpoint") {
+    CHECK(decode_deregister_start(R"({"born":1780822866857})") == 1780822866857);
+    for (const auto* body : {"", "{}", "[]", "{\"born\":\"x\"}", "{\"born\":-1}", "{\"born\":1"}) {
+        CHECK_FALSE(decode_deregister_start(body));
+    }
+}
