--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -133,8 +133,8 @@
     /// False when the heartbeat is outdated or not from this daemon's endpoint; it is ignored then.
     bool on_heartbeat(const heartbeat& beat, time_point now);
     /// The endpoint has deregistered or is about to. False when `endpoint_id` is not the current endpoint.
-    /// If its start is not known, such as after a restart of this daemon, the departure binds all starts up to
-    /// `not_after_unix_ms`: delayed heartbeats may still arrive.
+    /// If its start is not known, such as after a restart of this daemon, the departure binds all starts up
+    /// to `not_after_unix_ms`: delayed heartbeats may still arrive.
     bool on_deregister(std::string_view endpoint_id, std::int64_t not_after_unix_ms);
     /// A health check identified the endpoint. Takes effect only while the endpoint is absent, such as before
     /// its first heartbeat.
