Report loads sooner where service times are short

Cause: spread the load reports by fixed intervals of up to a second, longer than requests of 90 ms with a target of 300 ms take. Result: placement_test 'the load of an endpoint with short service times is reported soon'; 'few reports of the load suffice' as before.

--- a/src/mesh/choice.cpp
+++ b/src/mesh/choice.cpp
@@ -40,9 +40,11 @@
 /// A larger body is not sent to several endpoints: it takes longer than the wait that this avoids.
 constexpr std::size_t max_resent_bytes = 16UL * 1024;
 
-/// Minimum intervals of load reports: of any two, of those of a change by half of the slots, and of those of
-/// a smaller change.
-constexpr duration min_report_interval = milliseconds{300};
+/// Minimum intervals of load reports: of any two, of those that all slots are taken or one is free again, of
+/// those of a change by half of the slots, and of those of a smaller change. Of an endpoint with shorter
+/// service times, changes are reported about once in two such times.
+constexpr duration min_report_interval = milliseconds{200};
+constexpr duration full_change_interval = milliseconds{300};
 constexpr duration large_change_interval = milliseconds{400};
 constexpr duration small_change_interval = milliseconds{1000};
 
@@ -120,15 +122,21 @@
 
 bool load_reporter::take_due(const endpoint_load& load, time_point now) {
     const auto since = now - reported_at_;
+    const auto limited = [&](duration interval) {
+        return load.service_time > duration{0}
+                   ? std::clamp(2 * load.service_time, min_report_interval, interval)
+                   : interval;
+    };
     bool due = !reported_;
     if (reported_) {
         const auto [less, more] = std::minmax(load.outstanding, reported_->outstanding);
         const auto change = more - less;
         const bool full_changed =
             (load.outstanding >= load.slots) != (reported_->outstanding >= reported_->slots);
-        due = load.accepting != reported_->accepting || (full_changed && since >= min_report_interval) ||
-              (change * 2 >= load.slots && since >= large_change_interval) ||
-              (change >= std::max(2U, load.slots / 4) && since >= small_change_interval);
+        due = load.accepting != reported_->accepting ||
+              (full_changed && since >= limited(full_change_interval)) ||
+              (change * 2 >= load.slots && since >= limited(large_change_interval)) ||
+              (change >= std::max(2U, load.slots / 4) && since >= limited(small_change_interval));
     }
     if (due) {
         reported_ = load;
--- a/tests/mesh/placement_test.cpp
+++ b/tests/mesh/placement_test.cpp
@@ -202,6 +202,24 @@
     }
 }
 
+// Load pattern: requests of 90 ms, so that the load of an endpoint changes several times a second. Guards
+// against refusals and waits because the others know the load of an earlier moment.
+TEST_CASE("the load of an endpoint with short service times is reported soon") {
+    const time_point start{std::chrono::hours{1}};
+    const auto due_after = [&](duration service_time, std::uint32_t change) {
+        load_reporter reporter;
+        REQUIRE(reporter.take_due({0, 18, service_time, 0.3, true}, start));
+        auto now = start;
+        do {
+            now += 100ms;
+        } while (!reporter.take_due({change, 18, service_time, 0.3, true}, now));
+        return now - start;
+    };
+    CHECK(due_after(90ms, 9) <= 200ms);
+    CHECK(due_after(90ms, 4) <= 200ms);
+    CHECK(due_after(500ms, 4) > 400ms);
+}
+
 // Load pattern: a quarter more requests than the endpoints can run. Guards against messages that multiply in
 // an overload, when no endpoint has a free slot.
 TEST_CASE("in an overload few requests are sent to several endpoints") {
