Measure accepted connections, the delay of the event loop and the use of the network link

The summary line and the metrics now have the connections accepted from callers, the longest delay of the loop and the use of the link by received bytes; a loop that is held for over half a second writes loop_delayed.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -358,9 +358,27 @@
     /// Comparable between endpoints that run different routes.
     double slowness = 0;
     bool accepting = true;
+    double link_use = 0; ///< of the VM's network link by received bytes, recently; 0 to 1
     friend auto operator<=>(const endpoint_load&, const endpoint_load&) = default;
 };
 
+/// Measures how much of the VM's network link received bytes have used recently. Not thread safe.
+class link_meter {
+public:
+    /// `link_mbps` of 0 means that the bandwidth is unknown; the use is then 0.
+    explicit link_meter(std::int64_t link_mbps) : link_mbps_{link_mbps} {}
+    /// Takes the number of bytes received in all until `now`. Call about every 100 ms.
+    void record(std::uint64_t received_bytes, time_point now);
+    /// From 0 to 1.
+    [[nodiscard]] double use() const { return use_; }
+
+private:
+    std::int64_t link_mbps_;
+    std::uint64_t received_bytes_ = 0;
+    std::optional<time_point> recorded_at_;
+    double use_ = 0;
+};
+
 /// Decides when a daemon tells the others in its failure domain the load of its endpoint. Each report is a
 /// message to every one of them, and replies carry the load as well, so small changes are reported seldom;
 /// that the last slot was taken or the first one is free again is reported soon. Not thread safe.
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -162,6 +162,12 @@
     release_slot(item, service_time);
 }
 
+mesh::endpoint_load endpoint_service::load() const {
+    auto result = gate_.load();
+    result.link_use = link_use_;
+    return result;
+}
+
 void endpoint_service::record_evidence(const job& item, bool failed, duration latency) {
     const auto matches = [&](const mesh::version_evidence& entry) {
         return entry.version == item.version && entry.route == item.call.route;
@@ -183,7 +189,7 @@
 void endpoint_service::reply(const std::shared_ptr<job>& item, reply_message message) {
     jobs_.erase(item->id);
     message.stream = item->call.stream;
-    message.load = gate_.load();
+    message.load = load();
     message.load.accepting = may_start();
     counters_.add("endpoint_" + std::string{to_string(message.why)});
     // The daemon that sent the request logs all endpoints that were busy.
--- a/src/sidecar/endpoint_service.h
+++ b/src/sidecar/endpoint_service.h
@@ -26,7 +26,9 @@
     void set_stop_deadline(time_point end) { stop_deadline_ = end; }
     /// Sets whether the version of this endpoint has been replaced. A retired endpoint starts no requests.
     void set_retired(bool retired);
-    [[nodiscard]] mesh::endpoint_load load() const { return gate_.load(); }
+    [[nodiscard]] mesh::endpoint_load load() const;
+    /// Sets the use of the VM's network link, which is reported with the load.
+    void set_link_use(double use) { link_use_ = use; }
     /// Share of repeated requests among the latest runs.
     [[nodiscard]] double repeat_share() const { return repeats_.share(); }
     [[nodiscard]] std::size_t open_jobs() const { return jobs_.size(); }
@@ -75,6 +77,7 @@
     std::optional<health_check> probe_; ///< set while the endpoint is being queried
     std::optional<time_point> stop_deadline_;
     bool retired_ = false;
+    double link_use_ = 0;
 };
 
 } // namespace endive::sidecar
--- a/src/sidecar/events.cpp
+++ b/src/sidecar/events.cpp
@@ -52,6 +52,7 @@
     event_entry{call_refused, "call_refused", info, refusal},
     event_entry{call_failed, "call_failed", info, refusal},
     event_entry{accept_failed, "accept_failed", warning, lifecycle},
+    event_entry{loop_delayed, "loop_delayed", warning, lifecycle},
     event_entry{unexpected_exception, "unexpected_exception", warning, lifecycle},
     event_entry{summary, "summary", info, lifecycle},
 };
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -50,6 +50,7 @@
     call_refused,
     call_failed,
     accept_failed,
+    loop_delayed,
     unexpected_exception,
     summary,
 };
--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -311,6 +311,8 @@
                                                              }} {}
 
 void http_server::add_session(std::shared_ptr<stream> connection) {
+    ++accepted_connections_;
+    connection->count_received(received_total_);
     const auto session = std::make_shared<http_session>(*this, std::move(connection));
     sessions_.insert(session);
     session->start();
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -58,6 +58,10 @@
     /// requests with 503 when they take too much memory. Call a few times per second.
     void sweep(time_point now);
     [[nodiscard]] std::size_t session_count() const { return sessions_.size(); }
+    /// Number of connections accepted since the start.
+    [[nodiscard]] std::uint64_t accepted_connections() const { return accepted_connections_; }
+    /// Adds the bytes received on connections that are accepted from now on to `total`.
+    void count_received(std::shared_ptr<std::uint64_t> total) { received_total_ = std::move(total); }
     /// Number of requests that have been received but not answered yet.
     [[nodiscard]] std::size_t open_exchanges() const;
     /// Number of connections with response bytes that the caller has not acknowledged yet.
@@ -74,6 +78,8 @@
     bool reading_ = true;
     std::size_t max_buffered_bytes_ = std::numeric_limits<std::size_t>::max();
     std::set<std::shared_ptr<http_session>> sessions_;
+    std::uint64_t accepted_connections_ = 0;
+    std::shared_ptr<std::uint64_t> received_total_;
     listener listener_;
 };
 
--- a/src/sidecar/messages.cpp
+++ b/src/sidecar/messages.cpp
@@ -2,6 +2,7 @@
 
 #include "sidecar/generated/mesh_generated.h"
 
+#include <algorithm>
 #include <cstring>
 
 namespace endive::sidecar {
@@ -38,7 +39,8 @@
         out, load.outstanding, load.slots,
         static_cast<std::uint32_t>(
             std::chrono::duration_cast<std::chrono::microseconds>(load.service_time).count()),
-        static_cast<std::uint32_t>(load.slowness * per_mille), load.accepting);
+        static_cast<std::uint32_t>(load.slowness * per_mille), load.accepting,
+        static_cast<std::uint16_t>(load.link_use * per_mille));
 }
 
 payload_offset encode(builder& out, const call_message& value) {
@@ -190,8 +192,12 @@
         return {};
     }
     constexpr double per_mille = 1000.0;
-    return {load->outstanding(), load->slots(), std::chrono::microseconds{load->service_time_us()},
-            load->slowness_permille() / per_mille, load->accepting()};
+    return {load->outstanding(),
+            load->slots(),
+            std::chrono::microseconds{load->service_time_us()},
+            load->slowness_permille() / per_mille,
+            load->accepting(),
+            std::min(1.0, load->link_use_permille() / per_mille)};
 }
 
 call_message decode(const wire::call& value) {
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -43,6 +43,7 @@
                 [this](std::shared_ptr<stream> connection) { add_link(std::move(connection)); }} {}
 
 std::shared_ptr<peer_link> peer_set::add_link(std::shared_ptr<stream> connection) {
+    connection->count_received(received_total_);
     auto link = std::make_shared<peer_link>(std::move(connection), clock_, local_, *this);
     links_.insert(link);
     send_hello(*link);
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -72,6 +72,8 @@
     /// Connects to peers without a link, checks the links and requests missing rows. Call about every 100 ms.
     void tick(time_point now);
     [[nodiscard]] std::size_t link_count() const;
+    /// Adds the bytes received on links that are opened from now on to `total`.
+    void count_received(std::shared_ptr<std::uint64_t> total) { received_total_ = std::move(total); }
     /// Open connections to peers, including retired and redundant ones.
     [[nodiscard]] std::size_t connection_count() const { return links_.size(); }
     /// True while a link has a reply that the other daemon has not acknowledged.
@@ -118,6 +120,7 @@
     std::set<std::shared_ptr<peer_link>> links_;
     mesh::missing_rows missing_;
     row_packer packer_;
+    std::shared_ptr<std::uint64_t> received_total_;
     listener listener_;
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -11,6 +11,8 @@
 
 constexpr duration tick_interval = milliseconds{20};
 constexpr duration slow_tick_interval = milliseconds{100};
+/// A tick that comes later than this after its time is logged: nothing else was handled in time either.
+constexpr duration loop_delay_threshold = milliseconds{500};
 /// Maximum body size of requests that the daemon handles itself, such as heartbeats.
 constexpr std::uint64_t max_own_request_bytes = 64UL * 1024;
 /// Requests of callers that have not been read whole may take the process's memory divided by this.
@@ -89,7 +91,7 @@
                          }
                      },
                      [this](bool healthy) { on_store_health(healthy); }},
-      store_{loop, clock, settings_.store_address}, timer_{loop} {
+      store_{loop, clock, settings_.store_address}, timer_{loop}, link_meter_{settings_.link_mbps} {
     if (!settings_.metrics_address.empty()) {
         metrics_ = std::make_unique<http_server>(
             loop, clock, settings_.metrics_address,
@@ -100,6 +102,8 @@
             server->set_limits({.body_bytes = max_own_request_bytes});
         }
     }
+    callers_.count_received(received_bytes_);
+    peers_.count_received(received_bytes_);
     callers_.set_buffer_limit(settings_.memory_part(incomplete_memory_divisor));
     self_.daemon = settings_.name;
     self_.daemon_start_unix_ms = to_unix_ms(clock_.wall_now());
@@ -197,6 +201,8 @@
     out << "endive_unexpected_exceptions_total " << caught_exceptions() << "\n";
     const auto load = local_.load();
     out << "endive_endpoint_outstanding " << load.outstanding << "\n";
+    out << "endive_accepted_connections_total " << callers_.accepted_connections() << "\n";
+    out << "endive_link_use " << link_meter_.use() << "\n";
     out << "endive_peer_links " << peers_.link_count() << "\n";
     out << "endive_peer_connections " << peers_.connection_count() << "\n";
     for (const double quantile : {0.5, 0.9, 0.99}) {
@@ -505,6 +511,7 @@
 
 void sidecar::tick() {
     const auto now = clock_.now();
+    run_guarded("delay of the event loop", [&] { record_loop_delay(now); });
     run_guarded("deadlines of requests", [&] { forwarder_.tick(now); });
     run_guarded("deadlines of calls", [&] { local_.tick(now); });
     if (now >= next_slow_tick_) {
@@ -514,6 +521,7 @@
     if (stopping_since_) {
         run_guarded("stop", [&] { finish_stop(now); });
     }
+    next_tick_ = clock_.now() + tick_interval;
     timer_.expires_after(tick_interval);
     timer_.async_wait([this](error_code code) {
         if (!code) {
@@ -522,7 +530,21 @@
     });
 }
 
+/// Measures how long events wait for the loop, by how late the tick is.
+void sidecar::record_loop_delay(time_point now) {
+    const auto delay = next_tick_ ? now - *next_tick_ : duration{0};
+    longest_loop_delay_ = std::max(longest_loop_delay_, delay);
+    if (delay > loop_delay_threshold) {
+        counters_.add("loop_delays");
+        log(event::loop_delayed, {{"delay_ms", std::chrono::duration_cast<milliseconds>(delay).count()},
+                                  {"open_requests", forwarder_.open_requests()},
+                                  {"accepted_connections", callers_.accepted_connections()}});
+    }
+}
+
 void sidecar::slow_tick(time_point now) {
+    link_meter_.record(*received_bytes_, now);
+    local_.set_link_use(link_meter_.use());
     operator_rows_.tick();
     if (now >= next_reader_selection_) {
         next_reader_selection_ = now + reader_selection_interval;
@@ -604,8 +626,14 @@
             before = value;
         }
     }
-    log(event::summary,
-        {{"counters", grown}, {"links", peers_.link_count()}, {"outstanding", local_.load().outstanding}});
+    log(event::summary, {{"counters", grown},
+                         {"links", peers_.link_count()},
+                         {"outstanding", local_.load().outstanding},
+                         {"accepted_connections", callers_.accepted_connections()},
+                         {"link_use", link_meter_.use()},
+                         {"longest_loop_delay_ms", std::chrono::duration_cast<milliseconds>(
+                                                       std::exchange(longest_loop_delay_, duration{0}))
+                                                       .count()}});
 }
 
 void sidecar::stop() {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -54,6 +54,7 @@
     void log_summary(time_point now);
     void remove_expired(time_point now);
     void tick();
+    void record_loop_delay(time_point now);
     void slow_tick(time_point now);
     void finish_stop(time_point now);
     /// Rank of this daemon among the connected ones for a duty, a task that one daemon performs for all. The
@@ -92,6 +93,10 @@
     time_point next_member_read_{};
     std::set<std::string> writing_; ///< duties with a write in progress
     std::map<std::string, time_point> duty_since_;
+    std::shared_ptr<std::uint64_t> received_bytes_ = std::make_shared<std::uint64_t>(0);
+    mesh::link_meter link_meter_;
+    std::optional<time_point> next_tick_; ///< when the timer of the ticks expires
+    duration longest_loop_delay_{0};      ///< since the last summary
     mesh::load_reporter load_reports_;
     bool published_accepting_ = true;
     time_point next_slow_tick_{};
--- a/src/sidecar/stream.cpp
+++ b/src/sidecar/stream.cpp
@@ -84,6 +84,9 @@
         end(code == boost::asio::error::eof ? stream_end::clean : stream_end::failed);
         return;
     }
+    if (received_total_) {
+        *received_total_ += size;
+    }
     if (on_data_) {
         const auto handler = on_data_; // `close` inside the handler resets the member
         if (!run_guarded("received data", [&] { handler({buffer.data(), size}); })) {
--- a/src/sidecar/stream.h
+++ b/src/sidecar/stream.h
@@ -46,6 +46,8 @@
     void finish_sending();
     void close();
     [[nodiscard]] bool is_open() const { return open_; }
+    /// Adds the number of received bytes to `total` from now on.
+    void count_received(std::shared_ptr<std::uint64_t> total) { received_total_ = std::move(total); }
 
 private:
     void wait_readable();
@@ -57,6 +59,7 @@
     std::function<void(std::string_view)> on_data_;
     std::function<void(stream_end)> on_end_;
     std::deque<std::shared_ptr<const std::string>> queue_;
+    std::shared_ptr<std::uint64_t> received_total_;
     bool open_ = true;
     bool paused_ = false;
     bool waiting_readable_ = false;
--- a/tests/sidecar/messages_test.cpp
+++ b/tests/sidecar/messages_test.cpp
@@ -47,7 +47,7 @@
     CHECK(got.kind == mesh::request_kind::upload);
 
     reply_message reply{9,      mesh::attempt_outcome::not_run, 503,  {{"A", "1"}},
-                        "body", mesh::reason::no_room,          80ms, {3, 12, 120ms, 0.25, false}};
+                        "body", mesh::reason::no_room,          80ms, {3, 12, 120ms, 0.25, false, 0.5}};
     const auto back = std::get<reply_message>(round_trip(reply));
     CHECK(back.outcome == mesh::attempt_outcome::not_run);
     CHECK(back.why == mesh::reason::no_room);
