--- a/tests/sidecar/stream_test.cpp
+++ b/tests/sidecar/stream_test.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/stream.h"
 
+#include "sidecar/guard.h"
+
 #include "sidecar/loopback.h"
 
 #include <catch2/catch.hpp>
@@ -55,3 +57,25 @@
     }
     CHECK(run_until(loop, [&] { return accepted == 1; }));
 }
+
+// Guards against a server that stays deaf to new connections, while its other listeners answer, because an
+// exception ended the handling of one.
+TEST_CASE("a listener goes on accepting after the handler of a connection has failed", "[!mayfail]") {
+    boost::asio::io_context loop;
+    const auto address = free_address();
+    int accepted = 0;
+    listener server{loop, address, [&](const std::shared_ptr<stream>&) {
+                        if (++accepted == 1) {
+                            throw std::bad_alloc{};
+                        }
+                    }};
+    std::vector<tcp::socket> clients;
+    for (int i = 0; i < 3; ++i) {
+        clients.emplace_back(loop).connect(to_endpoint(address));
+    }
+    // The process runs its loop again after an exception, as here.
+    for (int step = 0; step < 50; ++step) {
+        (void)run_guarded("event", [&] { run_steps(loop, 1); });
+    }
+    CHECK(accepted == 3);
+}
