Take a response that ends within its head for cut, also when libcurl does not

Report of other operators: an endpoint stopped in the middle of its answer's head and closed, and clients got a 200 with an empty body. It could happen in endived: libcurl reports success when the connection ends within the head, and a Content-Length of 0 that had been read made the response complete. Such a response is now a connection that closed without an answer (502, outcome unknown).

--- a/src/backends/http_exchange.cpp
+++ b/src/backends/http_exchange.cpp
@@ -98,6 +98,10 @@
 transport_result http_exchange::transport_of(CURLcode code) const {
     switch (code) {
     case CURLE_OK:
+        if (!buffer_.head_complete) {
+            return closed_result(); // libcurl takes a head that the end of the connection cuts for a whole
+                                    // one
+        }
         return calls::is_complete(buffer_.head.framing, buffer_.received, true) ? transport_result::answered
                                                                                 : transport_result::truncated;
     case CURLE_COULDNT_CONNECT:
--- a/tests/callers/faults_test.cpp
+++ b/tests/callers/faults_test.cpp
@@ -74,6 +74,22 @@
     }
 }
 
+// Guards against a 200 with an empty body, made of a head that broke off.
+TEST_CASE("a response that ends within its head is an error") {
+    for (const auto* bytes :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Sign", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", "HTTP/1.1 204 No Content\r\n",
+          "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200"}) {
+        scripted_backend backend{[&](const script_request&) { return script_step{bytes, 0ms, true}; }};
+        proxy_fixture proxy{{backend.address()}};
+        const auto response = call(proxy.server.port(), "POST", "/pay", {}, "x");
+        INFO(bytes << "\n" << response.head);
+        CHECK(response.status == 502);
+        CHECK(has_outcome(response, "unknown"));
+        CHECK(backend.executions() == 1);
+    }
+}
+
 TEST_CASE("garbage from a backend server is a gateway error") {
     scripted_backend backend{[](const script_request&) {
         return script_step{"\x01\x02 garbage\r\n\r\n", 0ms, true};
