Do not repeat a request on the connection that carried a refusal of it

Report of other operators: an endpoint wrote an earlier refusal once more on a kept connection, and clients were told 'not run' of a request that was running. Duplicates are recognized by the request's id, so it could happen here only where the same id came to the same connection again, such as a caller that sends an unread request once more: the duplicate then passed for the answer. Such a request now takes another connection. The test failed before for a repeated id (503 in place of 200) and passed for another id.

--- a/src/sidecar/endpoint_client.cpp
+++ b/src/sidecar/endpoint_client.cpp
@@ -15,12 +15,14 @@
 constexpr duration max_idle_time = std::chrono::seconds{4};
 /// Fraction of the idle timeout announced by the endpoint for which a connection is reused.
 constexpr double announced_idle_fraction = 0.6;
-/// Number of recent request ids kept per connection to recognize a late duplicate response. A duplicate of an
+/// Number of recent requests kept per connection to recognize a late duplicate response. A duplicate of an
 /// older one ends the running request with an unknown outcome.
-constexpr std::size_t max_earlier_ids = 64;
+constexpr std::size_t max_earlier_requests = 64;
 /// Number of interim responses and duplicates of earlier responses that may precede a response.
 constexpr std::size_t max_skipped_responses = 16;
 
+constexpr unsigned status_misdirected = 421;
+
 } // namespace
 
 struct endpoint_client::active_request {
@@ -39,17 +41,33 @@
     std::unique_ptr<response_reader> reader;
     std::shared_ptr<active_request> current;
     std::size_t buffered_bytes = 0; ///< of the response being received
-    std::deque<std::string> earlier_ids;
+    struct earlier_request {
+        std::string id;
+        bool refused = false;
+    };
+    std::deque<earlier_request> earlier;
     std::size_t skipped_responses = 0; ///< before the current one
     time_point last_used;
     duration idle_timeout = max_idle_time;
     bool tainted = false; ///< received bytes that belong to no request; not reused
+
+    /// True when the endpoint refused a request with this id here: a duplicate of the refusal could not be
+    /// told from the answer to another one.
+    [[nodiscard]] bool has_refused(std::string_view id) const {
+        return std::any_of(earlier.begin(), earlier.end(),
+                           [&](const earlier_request& entry) { return entry.refused && entry.id == id; });
+    }
 };
 
 endpoint_client::endpoint_client(boost::asio::io_context& loop, const clock_source& clock,
                                  std::string_view address, std::size_t max_buffered_bytes)
     : loop_{loop}, clock_{clock}, address_{to_endpoint(address)}, max_buffered_bytes_{max_buffered_bytes} {}
 
+bool is_refusal(const http_message& response) {
+    return response.status == status_misdirected ||
+           has_header(response.headers, platform_wire::not_executed_header);
+}
+
 std::uint64_t endpoint_client::send(http_message request, std::string request_id,
                                     endpoint_result_handler done, std::uint64_t max_body_bytes) {
     auto item = std::make_shared<active_request>();
@@ -59,20 +77,28 @@
     item->done = std::move(done);
     item->max_body_bytes = std::min<std::uint64_t>(max_body_bytes, max_buffered_bytes_);
     requests_[item->id] = item;
-    const auto now = clock_.now();
-    while (!idle_.empty()) {
-        const auto conn = idle_.back();
-        idle_.pop_back();
-        if (conn->transport->is_open() && now - conn->last_used < conn->idle_timeout) {
-            dispatch(item, conn);
-            return item->id;
-        }
-        conn->transport->close();
+    if (const auto conn = take_idle(item->request_id)) {
+        dispatch(item, conn);
+    } else {
+        open(item);
     }
-    open(item);
     return item->id;
 }
 
+/// Removes a connection for a request with this id from the idle ones; null when there is none.
+std::shared_ptr<endpoint_client::connection> endpoint_client::take_idle(std::string_view request_id) {
+    sweep(clock_.now());
+    std::erase_if(idle_, [](const auto& conn) { return !conn->transport->is_open(); });
+    const auto found = std::find_if(idle_.rbegin(), idle_.rend(),
+                                    [&](const auto& conn) { return !conn->has_refused(request_id); });
+    if (found == idle_.rend()) {
+        return nullptr;
+    }
+    auto conn = *found;
+    std::erase(idle_, conn);
+    return conn;
+}
+
 void endpoint_client::open(const std::shared_ptr<active_request>& item) {
     connect_stream(loop_, address_, connect_timeout, [this, item](std::shared_ptr<stream> transport) {
         if (item->cancelled) {
@@ -146,7 +172,8 @@
     const auto echoed = find_header(response.headers, platform_wire::request_id_header);
     if (is_interim || echoed != conn->current->request_id) {
         const bool is_earlier =
-            std::find(conn->earlier_ids.begin(), conn->earlier_ids.end(), echoed) != conn->earlier_ids.end();
+            std::any_of(conn->earlier.begin(), conn->earlier.end(),
+                        [&](const connection::earlier_request& entry) { return entry.id == echoed; });
         conn->tainted = true;
         if (is_earlier && response.keep_alive && may_skip) {
             return true; // a duplicate response to an earlier request; the expected one follows
@@ -194,9 +221,9 @@
     const bool reusable = result.outcome == mesh::attempt_outcome::answered && !conn->tainted &&
                           !conn->transport->sending() && conn->transport->is_open();
     if (reusable) {
-        conn->earlier_ids.push_back(item->request_id);
-        if (conn->earlier_ids.size() > max_earlier_ids) {
-            conn->earlier_ids.pop_front();
+        conn->earlier.push_back({item->request_id, is_refusal(result.response)});
+        if (conn->earlier.size() > max_earlier_requests) {
+            conn->earlier.pop_front();
         }
         conn->last_used = clock_.now();
         idle_.push_back(conn);
--- a/src/sidecar/endpoint_client.h
+++ b/src/sidecar/endpoint_client.h
@@ -17,6 +17,9 @@
     mesh::reason why = mesh::reason::none;
     http_message response; ///< only when `outcome` is `answered`
 };
+/// True when the endpoint says that it has not run the request.
+[[nodiscard]] bool is_refusal(const http_message& response);
+
 using endpoint_result_handler = std::function<void(endpoint_result)>;
 
 /// Maximum body size of a response, which has to fit into a frame to another daemon.
@@ -47,6 +50,7 @@
     struct connection;
     struct active_request;
     void dispatch(const std::shared_ptr<active_request>& item, const std::shared_ptr<connection>& conn);
+    [[nodiscard]] std::shared_ptr<connection> take_idle(std::string_view request_id);
     void open(const std::shared_ptr<active_request>& item);
     void on_data(const std::shared_ptr<connection>& conn, std::string_view bytes);
     void on_end(const std::shared_ptr<connection>& conn, stream_end how);
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -134,7 +134,7 @@
     connect_failures_ = result.why == mesh::reason::connect_failed ? connect_failures_ + 1 : 0;
     if (result.outcome == mesh::attempt_outcome::answered) {
         const bool misdirected = result.response.status == status_misdirected;
-        if (misdirected || has_header(result.response.headers, platform_wire::not_executed_header)) {
+        if (is_refusal(result.response)) {
             message.outcome = mesh::attempt_outcome::not_run;
             message.why = misdirected ? mesh::reason::wrong_endpoint : mesh::reason::endpoint_refused;
             message.retry_after = milliseconds{0};
--- a/tests/sidecar/endpoint_client_test.cpp
+++ b/tests/sidecar/endpoint_client_test.cpp
@@ -79,6 +79,36 @@
     CHECK(f.client.idle_connections() == 0);
 }
 
+// Guards against a caller who is told that its request has not run, because the endpoint repeats an earlier
+// refusal on a kept connection while it runs the request.
+TEST_CASE("a duplicate of an earlier refusal is not taken for the answer to a running request") {
+    for (const std::string second_id : {"2", "1"}) {
+        INFO("the second request has id " << second_id);
+        int number = 0;
+        std::shared_ptr<stream> refused_on;
+        fixture f{[&](const std::shared_ptr<stream>& connection, std::string& input) {
+            if (!is_complete_request(input)) {
+                return;
+            }
+            input.clear();
+            const std::string refusal{"HTTP/1.1 503 Full\r\nX-Request-Id: 1\r\nX-Not-Executed: 1\r\n"
+                                      "Content-Length: 0\r\n\r\n"};
+            ++number;
+            if (number == 1) {
+                refused_on = connection;
+                connection->send(std::string{refusal});
+            } else {
+                const bool repeats = connection == refused_on;
+                connection->send((repeats ? refusal : std::string{}) + response(second_id, "ran"));
+            }
+        }};
+        CHECK(f.run("1").response.status == 503);
+        const auto second = f.run(second_id);
+        CHECK(second.response.status == 200);
+        CHECK(second.response.body == "ran");
+    }
+}
+
 // Guards against ending a running request because of a duplicate that comes many requests late.
 TEST_CASE("a duplicate response is recognized after fifty further requests") {
     int number = 0;
@@ -132,6 +162,25 @@
     CHECK(result.why == mesh::reason::connection_lost);
 }
 
+// Guards against a 200 with an empty or short body, made of a head that broke off.
+TEST_CASE("a response that ends within its head is not complete") {
+    const auto whole = response("1", "0123456789", "Connection: close\r\n");
+    const auto head_size = whole.find("\r\n\r\n") + 4;
+    for (std::size_t size = 1; size < head_size; ++size) {
+        fixture f{[&](const std::shared_ptr<stream>& connection, std::string& input) {
+            if (is_complete_request(input)) {
+                connection->send(whole.substr(0, size));
+                connection->finish_sending();
+            }
+        }};
+        INFO(whole.substr(0, size));
+        const auto result = f.run("1");
+        CHECK(result.outcome == mesh::attempt_outcome::unknown);
+        CHECK(result.response.status == 0);
+        CHECK(f.client.idle_connections() == 0);
+    }
+}
+
 TEST_CASE("a response that ends with its connection is complete only when it ends cleanly") {
     fixture f{[](const std::shared_ptr<stream>& connection, std::string& input) {
         if (is_complete_request(input)) {
