Read the rows and heartbeats beside one that is malformed

Report of other operators: another writer left an odd entry among those of the endpoints, and the machines that read the list ended again and again or stopped following it. It could happen here in three ways. A row whose number had another type threw an exception that only the guard of the event caught: the rest of the page was not read, the read was not repeated, and a daemon that starts then neither wrote its row nor read a configuration. A start of 2^63 - 1 or a number like 1e300 was cast beyond its type. An address with a port out of range threw while the member was marked as being dialed. Also, an endpoint's id that is no text made every later encoding of the daemon's own row fail.

Numbers are checked against their range, ids for printable text, addresses before the member is taken; any exception of one row is logged as row_malformed, and of one answer leads to the next read. Deep nesting is harmless, since the parser does not recurse; tests show it.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -163,6 +163,9 @@
     std::map<std::string, std::int64_t, std::less<>> departed_; ///< start times of departed endpoints, by id
 };
 
+/// Latest Unix time that messages and rows may name, the end of the year 9999.
+inline constexpr std::int64_t max_unix_ms = 253'402'300'799'999;
+
 /// A daemon's report of itself and its endpoint. Of two reports, the one with the greater (daemon start,
 /// revision) is the newer.
 struct member {
@@ -685,6 +688,16 @@
     friend auto operator<=>(const rollout_settings&, const rollout_settings&) = default;
 };
 
+/// Record of when a rollout began, kept in the store for daemons that start later.
+struct rollout_start {
+    std::uint64_t order_version = 0;          ///< version of the order's row in the store
+    std::optional<milliseconds> store_time{}; ///< by the store's clock; empty in rows of earlier versions
+    friend auto operator<=>(const rollout_start&, const rollout_start&) = default;
+};
+[[nodiscard]] std::string encode(const rollout_start& value);
+/// Throws `error` with `platform_bad_answer` on unexpected content.
+[[nodiscard]] rollout_start decode_rollout_start(std::string_view text);
+
 /// Progress of a rollout as an evaluating daemon publishes it to the others.
 struct rollout_progress {
     std::string service;
--- a/src/mesh/membership.cpp
+++ b/src/mesh/membership.cpp
@@ -1,6 +1,7 @@
 #include "endive/mesh.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace endive::mesh {
@@ -31,6 +32,19 @@
     return "absent";
 }
 
+/// Reads an integer from 0 to `max`. Throws `json::exception` when it is missing and `error` when it is
+/// something else.
+template <typename number>
+number read_number(const json& object, const char* key,
+                   std::uint64_t max = std::numeric_limits<number>::max()) {
+    const auto& value = object.at(key);
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > max) {
+        throw error{result_code::platform_bad_answer,
+                    std::string{"member: "} + key + " is not an integer from 0 to " + std::to_string(max)};
+    }
+    return static_cast<number>(value.get<std::uint64_t>());
+}
+
 endpoint_state parse_state(const std::string& text) {
     if (text == "ready") {
         return endpoint_state::ready;
@@ -153,18 +167,23 @@
         const auto object = json::parse(text);
         member result;
         object.at("daemon").get_to(result.daemon);
-        object.at("start").get_to(result.daemon_start_unix_ms);
-        object.at("revision").get_to(result.revision);
+        result.daemon_start_unix_ms = read_number<std::int64_t>(object, "start", max_unix_ms);
+        result.revision = read_number<std::uint64_t>(object, "revision");
         object.at("address").get_to(result.address);
         object.at("domain").get_to(result.failure_domain);
         object.at("service").get_to(result.service);
         object.at("endpoint").get_to(result.endpoint_id);
         object.at("version").get_to(result.version);
-        object.at("slots").get_to(result.slots);
+        result.slots = read_number<std::uint32_t>(object, "slots");
         result.state = parse_state(object.at("state").get<std::string>());
-        object.at("born").get_to(result.endpoint_start_unix_ms);
+        result.endpoint_start_unix_ms = read_number<std::int64_t>(object, "born", max_unix_ms);
         object.at("stopping").get_to(result.stopping);
-        result.link_mbps = object.value("link_mbps", result.link_mbps); // absent in rows of earlier versions
+        if (object.contains("link_mbps")) { // absent in rows of earlier versions
+            result.link_mbps = read_number<std::int64_t>(object, "link_mbps");
+        }
+        if (result.daemon.empty()) {
+            throw error{result_code::platform_bad_answer, "member: no name of a daemon"};
+        }
         return result;
     } catch (const json::exception& cause) {
         throw error{result_code::platform_bad_answer, std::string{"member: "} + cause.what()};
--- a/src/mesh/rollout.cpp
+++ b/src/mesh/rollout.cpp
@@ -36,6 +36,31 @@
 
 } // namespace
 
+std::string encode(const rollout_start& value) {
+    json row{{"order", value.order_version}};
+    if (value.store_time) {
+        row["started_store_ms"] = value.store_time->count();
+    }
+    return row.dump();
+}
+
+rollout_start decode_rollout_start(std::string_view text) {
+    const auto row = json::parse(text, nullptr, false);
+    const auto is_time = [](const json& value) {
+        return value.is_number_unsigned() && value.get<std::uint64_t>() <= std::uint64_t{max_unix_ms};
+    };
+    const bool valid = row.is_object() && row.contains("order") && row["order"].is_number_unsigned() &&
+                       (!row.contains("started_store_ms") || is_time(row["started_store_ms"]));
+    if (!valid) {
+        throw error{result_code::platform_bad_answer, "malformed record of a rollout start"};
+    }
+    rollout_start result{row["order"].get<std::uint64_t>()};
+    if (row.contains("started_store_ms")) {
+        result.store_time = milliseconds{row["started_store_ms"].get<std::int64_t>()};
+    }
+    return result;
+}
+
 rollout::rollout(rollout_order order, rollout_settings settings, time_point started)
     : order_{std::move(order)}, settings_{settings}, started_{started} {}
 
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -333,6 +333,9 @@
         constexpr unsigned status_ok = 200;
         const bool healthy = result.response.status == status_ok;
         log(event::endpoint_probed, {{"endpoint", id}, {"status", result.response.status}});
+        if (!platform_wire::is_endpoint_id(id)) {
+            return;
+        }
         const auto slots = parse_slots(find_header(result.response.headers, platform_wire::load_header));
         update([&](mesh::endpoint_tracker& tracker) { tracker.on_health(id, healthy, slots.value_or(1)); });
     };
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -73,6 +73,9 @@
         callbacks_.member_update(about);
         return;
     }
+    if (!about.address.empty() && !parse_address(about.address)) {
+        throw error{result_code::platform_bad_answer, "member: not an address: " + about.address};
+    }
     const auto [found, is_new] = peers_.try_emplace(about.daemon);
     auto& entry = found->second;
     if (!is_new && !mesh::supersedes(about, entry.about)) {
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -49,7 +49,8 @@
     /// Sets the member record of this daemon and broadcasts it to all peers.
     void set_self(const mesh::member& self);
     [[nodiscard]] const mesh::member& self() const { return self_; }
-    /// Handles a member record received from a peer or the store.
+    /// Handles a member record received from a peer or the store. Throws `error` with `platform_bad_answer`
+    /// when its address cannot be dialed.
     void update_member(const mesh::member& about);
     /// Broadcasts a small row that this daemon wrote to all peers.
     void publish_row(const mesh::store_row& row);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -244,15 +244,22 @@
             on_own_row(row);
         }
     } catch (const error& cause) {
-        counters_.add("row_malformed");
-        log(event::row_malformed, {{"table", row.table},
-                                   {"key", row.key},
-                                   {"version", row.version},
-                                   {"place", cause.location()},
-                                   {"reason", cause.what()}});
+        report_malformed(row, cause.location(), cause.what());
+    } catch (const std::exception& cause) {
+        // The rows that come with this one are read all the same.
+        report_malformed(row, {}, cause.what());
     }
 }
 
+void sidecar::report_malformed(const mesh::store_row& row, std::string_view place, std::string_view reason) {
+    counters_.add("row_malformed");
+    log(event::row_malformed, {{"table", row.table},
+                               {"key", row.key},
+                               {"version", row.version},
+                               {"place", place},
+                               {"reason", reason}});
+}
+
 void sidecar::on_peer_row(const mesh::store_row& row, const mesh::row_delta* via) {
     if (row.table == platform_wire::operator_table) {
         operator_rows_.on_peer_row(row.version);
@@ -307,17 +314,13 @@
         return;
     }
     if (row.key.starts_with(start_prefix)) {
-        const auto object = json::parse(row.value, nullptr, false);
-        if (!object.is_object() || !object.contains("order")) {
-            throw error{result_code::platform_bad_answer, "malformed record of a rollout start", row.key};
-        }
+        const auto start = mesh::decode_rollout_start(row.value);
         const auto now = store_time();
         std::optional<duration> elapsed;
-        if (now && object.contains("started_store_ms")) { // absent in rows of earlier versions
-            elapsed = *now - milliseconds{object["started_store_ms"].get<std::int64_t>()};
+        if (now && start.store_time) {
+            elapsed = *now - *start.store_time;
         }
-        rollouts_.on_start(row.key.substr(start_prefix.size()), object["order"].get<std::uint64_t>(), elapsed,
-                           clock_.now());
+        rollouts_.on_start(row.key.substr(start_prefix.size()), start.order_version, elapsed, clock_.now());
     }
 }
 
@@ -370,9 +373,8 @@
                                 return;
                             }
                             complete = true;
-                        } catch (const error& cause) {
-                            log(event::store_answer_malformed,
-                                {{"table", table}, {"place", cause.location()}, {"reason", cause.what()}});
+                        } catch (const std::exception& cause) {
+                            log_malformed_answer(table, cause);
                         }
                     }
                     if (table == own_table) {
@@ -414,9 +416,8 @@
                                 on_row(current);
                             }
                         }
-                    } catch (const error& cause) {
-                        log(event::store_answer_malformed,
-                            {{"table", row.table}, {"place", cause.location()}, {"reason", cause.what()}});
+                    } catch (const std::exception& cause) {
+                        log_malformed_answer(row.table, cause);
                     }
                     if (!written) {
                         counters_.add("store_write_failed");
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -42,6 +42,7 @@
     [[nodiscard]] std::vector<std::string> evaluators_of(const std::string& service) const;
     void advance_rollouts(time_point now);
     void send_evidence(const std::string& service);
+    void report_malformed(const mesh::store_row& row, std::string_view place, std::string_view reason);
     void on_peer_row(const mesh::store_row& row, const mesh::row_delta* via);
     void on_store_health(bool healthy);
     void select_readers(time_point now);
--- a/src/sidecar/sidecar_moves.cpp
+++ b/src/sidecar/sidecar_moves.cpp
@@ -64,9 +64,9 @@
         if (!started) {
             continue;
         }
-        const json value{{"order", move.order_version},
-                         {"started_store_ms", std::chrono::duration_cast<milliseconds>(*started).count()}};
-        const mesh::store_row row{std::string{own_table}, key, value.dump(), 0};
+        const mesh::rollout_start start{move.order_version,
+                                        std::chrono::duration_cast<milliseconds>(*started)};
+        const mesh::store_row row{std::string{own_table}, key, mesh::encode(start), 0};
         const auto* known = rows_.find(own_table, key);
         duties.emplace_back(key, [this, key, row, expected = known == nullptr ? 0 : known->version] {
             write(row, expected, [this, key](bool) { writing_.erase(key); });
--- a/src/sidecar/store_client.cpp
+++ b/src/sidecar/store_client.cpp
@@ -35,6 +35,13 @@
 
 } // namespace
 
+void log_malformed_answer(std::string_view table, const std::exception& cause) {
+    const auto* located = dynamic_cast<const error*>(&cause);
+    log(event::store_answer_malformed, {{"table", table},
+                                        {"place", located == nullptr ? std::string{} : located->location()},
+                                        {"reason", cause.what()}});
+}
+
 store_connection::store_connection(boost::asio::io_context& loop, const clock_source& clock,
                                    std::string_view address)
     : loop_{loop}, clock_{clock}, host_{address}, address_{to_endpoint(address)}, timer_{loop} {}
@@ -249,9 +256,8 @@
                              }
                              version_ = *std::exchange(first_page_version_, std::nullopt);
                              watch();
-                         } catch (const error& cause) {
-                             log(event::store_answer_malformed,
-                                 {{"table", table_}, {"place", cause.location()}, {"reason", cause.what()}});
+                         } catch (const std::exception& cause) {
+                             log_malformed_answer(table_, cause);
                              retry("read", answer, [this, from] { read(from); });
                          }
                      });
@@ -316,9 +322,8 @@
                              }
                              on_rows_(page.rows);
                              schedule(pause_after_change, [this] { watch(); });
-                         } catch (const error& cause) {
-                             log(event::store_answer_malformed,
-                                 {{"table", table_}, {"place", cause.location()}, {"reason", cause.what()}});
+                         } catch (const std::exception& cause) {
+                             log_malformed_answer(table_, cause);
                              retry("watch", answer, [this] { read({}); });
                          }
                      });
--- a/src/sidecar/store_client.h
+++ b/src/sidecar/store_client.h
@@ -18,6 +18,9 @@
 };
 using store_callback = std::function<void(store_answer)>;
 
+/// Logs an answer of the store that could not be handled.
+void log_malformed_answer(std::string_view table, const std::exception& cause);
+
 /// One connection to the store; calls are queued and sent one at a time. Not thread safe.
 class store_connection {
 public:
--- a/tests/mesh/membership_test.cpp
+++ b/tests/mesh/membership_test.cpp
@@ -115,6 +115,29 @@
     CHECK(endpoint.is_ready());
 }
 
+// Guards against a row of another writer that ends the process or stops the reading of the rows after it.
+TEST_CASE("a member row with numbers out of range is rejected") {
+    member good;
+    good.daemon = "d";
+    good.address = "10.0.0.1:7000";
+    good.daemon_start_unix_ms = 1'770'000'000'000;
+    good.slots = 12;
+    REQUIRE(decode_member(encode(good)) == good);
+    const std::string nested(30'000, '[');
+    const std::vector<std::pair<std::string, json>> mutations{
+        {"slots", 1e300},     {"slots", -1},        {"slots", 4294967297},     {"start", 1e300},
+        {"start", INT64_MAX}, {"born", UINT64_MAX}, {"revision", -1},          {"revision", 0.5},
+        {"link_mbps", 1e300}, {"daemon", ""},       {"slots", json::array({})}};
+    for (const auto& [key, value] : mutations) {
+        auto row = json::parse(encode(good));
+        row[key] = value;
+        INFO(key << " " << value.dump());
+        CHECK_THROWS_AS(decode_member(row.dump()), error);
+    }
+    CHECK_THROWS_AS(decode_member(nested), error);
+    CHECK_THROWS_AS(decode_member(nested + std::string(nested.size(), ']')), error);
+}
+
 TEST_CASE("the newer of two members has the greater start and revision") {
     member older{"d", 10, 5, "a", "z", "s", "i", "v", 12, endpoint_state::ready, 1, false};
     auto newer = older;
--- a/tests/platform_wire/wire_test.cpp
+++ b/tests/platform_wire/wire_test.cpp
@@ -82,6 +82,33 @@
     CHECK_THROWS_AS(decode_heartbeat("", good), error);
 }
 
+// Guards against an entry of another writer that ends the process, or whose numbers wrap around and block the
+// endpoint's own heartbeats.
+TEST_CASE("heartbeats with numbers out of range, deep nesting or unreadable ids are rejected") {
+    const std::string good = R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":4,
+        "State":"ready","ColdRemaining":"0ms","Sequence":4,"born":1770000000000})";
+    CHECK(decode_heartbeat("i-1", good).slots == 4);
+    const std::string nested(30'000, '[');
+    const std::vector<std::pair<std::string, std::string>> mutations{
+        {"\"Slots\":4", "\"Slots\":4294967297"},
+        {"\"Slots\":4", "\"Slots\":1e300"},
+        {"\"Slots\":4", "\"Slots\":1e999"},
+        {"\"Sequence\":4", "\"Sequence\":18446744073709551616"},
+        {"\"born\":1770000000000", "\"born\":9223372036854775807"},
+        {"\"born\":1770000000000", "\"born\":18446744073709551615"},
+        {"\"born\":1770000000000", "\"born\":-1"},
+        {"\"Slots\":4", "\"Slots\":" + nested},
+        {"\"Slots\":4", "\"Slots\":" + nested + std::string(nested.size(), ']')}};
+    for (const auto& [from, to] : mutations) {
+        auto text = good;
+        replace(text, from, to);
+        INFO(to.substr(0, 60));
+        CHECK_THROWS_AS(decode_heartbeat("i-1", text), error);
+    }
+    CHECK_THROWS_AS(decode_heartbeat("i-\xff\xfe", good), error);
+    CHECK_THROWS_AS(decode_heartbeat(std::string(300, 'i'), good), error);
+}
+
 TEST_CASE("calls are recognized by method and target") {
     CHECK(parse_call("GET", "/-/ready").name == call_name::readiness);
     CHECK(parse_call("POST", "/-/rpc?call=instances.heartbeat&of=i-1") ==
--- a/tests/sidecar/rows_test.cpp
+++ b/tests/sidecar/rows_test.cpp
@@ -193,3 +193,45 @@
     CHECK(std::stoul(client.received().substr(at + counter.size())) < value.size() / 10);
     CHECK(f.captured.lines("row_received").back().at("bytes") == value.size());
 }
+
+// Guards against a single row of another writer in the daemons' table, after which a starting daemon neither
+// read the rest of the rows nor followed the store, and stayed without a configuration.
+TEST_CASE("a daemon starts beside malformed rows of another writer") {
+    boost::asio::io_context loop;
+    manual_clock clock;
+    log_capture captured;
+    store_stand_in store{loop, clock};
+    const std::string nested(30'000, '[');
+    for (const std::string prefix : {"a", "member/a", "member/z", "move/a", "move/web", "zz"}) {
+        const std::vector<std::string> values{
+            "",
+            "\xff\xfe",
+            "{}",
+            nested,
+            nested + std::string(nested.size(), ']'),
+            R"({"order":"1"})",
+            R"({"order":1e300,"started_store_ms":"x"})",
+            R"({"order":1,"started_store_ms":1e300})",
+            R"({"daemon":"odd","start":1,"revision":1,"address":"127.0.0.1:99999","domain":"z","service":"books",)"
+            R"("endpoint":"e","version":"v1","slots":1e300,"state":"ready","born":1,"stopping":false})",
+            R"({"daemon":"odd2","start":1,"revision":1,"address":"127.0.0.1:99999","domain":"z","service":"books",)"
+            R"("endpoint":"e","version":"v1","slots":4,"state":"ready","born":1,"stopping":false})"};
+        for (std::size_t i = 0; i < values.size(); ++i) {
+            store.put("endiveledge", prefix + std::to_string(i), values[i]);
+        }
+    }
+    store.put("op", "config", configuration(3, "books"));
+    store.put("op", "rollout/web", R"({"Service":7})");
+    vm first{loop, clock, store, "vm-a", "web"};
+    vm second{loop, clock, store, "vm-b", "books"};
+    CHECK(run_until(loop, [&] {
+        clock.advance(20ms);
+        return captured.lines("configuration_in_force").size() == 2 && captured.lines("peer_up").size() >= 2;
+    }));
+    store.put("op", "config", configuration(5, "books"));
+    CHECK(run_until(loop, [&] {
+        clock.advance(20ms);
+        return captured.lines("configuration_in_force").size() == 4;
+    }));
+    CHECK(captured.lines("unexpected_exception").empty());
+}
