Give a new version all traffic only within its share of the requests

Trace: a twentieth until 45 % of the time, a quarter until 60 %, then all; its failures were found 0.47 s later and all daemons had stopped 0.58 s later, but the quarter and the whole together had already used up more than the share. The steps followed the time and the number of responses; nothing added up what the version had got. Shares did not reach daemons in a wrong order, none was late.

The evaluator now adds up the share over time and gives the version all traffic only if it stays within its share even when it turns bad at that moment, with the time that a verdict takes; the quarter lasts 0.4 s before that. The slack of the operator's bound counts in part (setting exposure_slack). Each daemon begins its count elsewhere, so that the share also holds where many daemons have few requests each: at 30 a second over 24 daemons a good version got nothing.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -686,6 +686,7 @@
 struct rollout_settings {
     double exposure_share = 0.1; ///< maximum traffic share of a version not yet proven good
     friend auto operator<=>(const rollout_settings&, const rollout_settings&) = default;
+    double exposure_slack = 0;   ///< number of requests that it may get beyond that share
 };
 
 /// Record of when a rollout began, kept in the store for daemons that start later.
@@ -715,7 +716,7 @@
 public:
     rollout(rollout_order order, rollout_settings settings, time_point started);
     /// Sets the time since the rollout began, at another daemon or before a restart of this one.
-    void set_elapsed(duration elapsed, time_point now) { started_ = now - elapsed; }
+    void set_elapsed(duration elapsed, time_point now);
     /// Takes the latest counters of `daemon`; they replace its earlier ones. A new `daemon_start` means that
     /// the daemon restarted and its counters began again at 0.
     void on_evidence(const std::string& daemon, std::int64_t daemon_start,
@@ -770,4 +771,14 @@
 
 // NOLINTEND(modernize-use-nullptr)
 
+    struct evidence_summary {
+        double responses = 0; ///< of both versions
+        double new_responses = 0;
+    };
+    [[nodiscard]] evidence_summary summarize() const;
+    [[nodiscard]] bool may_take_all(duration delay, double share, const evidence_summary& evidence,
+                                    time_point now) const;
+    [[nodiscard]] double next_share(time_point now) const;
 } // namespace endive::mesh
+    double exposure_ = 0; ///< the traffic share added up over time, in seconds of full traffic
+    std::optional<time_point> share_set_at_;
--- a/src/mesh/rollout.cpp
+++ b/src/mesh/rollout.cpp
@@ -5,22 +5,25 @@
 namespace endive::mesh {
 namespace {
 
-/// A step of a rollout: the traffic share of the new version once this ratio of the allowed time has elapsed
-/// and the version has produced this many responses. After the last step a quarter of the time remains for
-/// completion.
-struct step {
-    double min_elapsed;
-    double share;
-    double min_responses;
-};
-constexpr std::array steps{step{0.45, 0.25, 20}, step{0.6, 1.0, 50}};
-/// Initial traffic share, as a ratio of the maximum share of an unproven version: the next step needs the
-/// rest.
-constexpr double first_step_ratio = 0.5;
+/// Initial traffic share, as a ratio of the maximum share of an unproven version: full traffic needs the rest
+/// until a fault that shows only then is noticed.
+constexpr double first_step_ratio = 0.3;
+/// The new version gets all traffic once this ratio of the allowed time has elapsed, and before that a part
+/// of it for a short time. Enough time remains for completion.
+constexpr double full_traffic_start = 0.6;
+constexpr double trial_share = 0.25;
+constexpr duration trial_time = milliseconds{400};
+/// Number of responses that the version must have produced.
+constexpr double min_responses = 50;
 /// Once this ratio of the time has elapsed, fewer responses suffice, so that the rollout of a service with
 /// little traffic proceeds too.
 constexpr double late_phase_start = 0.72;
 constexpr double late_phase_responses = 8;
+/// Time from a step until no daemon sends the version anything, if it turns bad with the step: its failures
+/// come back, are reported and evaluated, and the verdict reaches all daemons.
+constexpr duration reaction_time = milliseconds{600};
+/// Part of the allowed number of requests beyond the share that is used.
+constexpr double slack_part = 0.5;
 /// Minimum number of failures for a verdict: a fault of the environment may cause one or two.
 constexpr double min_failures = 4;
 /// A new version is bad when its failure rate exceeds the old one's by this factor and margin.
@@ -34,6 +37,10 @@
 /// Requests sent to the old version before the last step end within this time.
 constexpr duration completion_delay = milliseconds{1500};
 
+double seconds_of(duration value) {
+    return std::chrono::duration<double>(value).count();
+}
+
 } // namespace
 
 std::string encode(const rollout_start& value) {
@@ -169,23 +176,7 @@
         set_traffic_share(0, now);
         return;
     }
-    const double elapsed = std::chrono::duration<double>(now - started_).count();
-    const double allowed = std::max(0.001, std::chrono::duration<double>(order_.time_allowed).count());
-    const double elapsed_ratio = elapsed / allowed;
-    const auto evidence = collect();
-    const auto overall = evidence.find(all_routes);
-    const double responses =
-        overall == evidence.end() ? 0 : overall->second[1].answered + overall->second[1].failed;
-    double share = initial_share();
-    for (const auto& candidate_step : steps) {
-        const double required = elapsed_ratio >= late_phase_start
-                                    ? std::min(candidate_step.min_responses, late_phase_responses)
-                                    : candidate_step.min_responses;
-        if (elapsed_ratio >= candidate_step.min_elapsed && responses >= required) {
-            share = candidate_step.share;
-        }
-    }
-    set_traffic_share(std::max(share, traffic_share_ >= 1.0 ? traffic_share_ : 0.0), now);
+    set_traffic_share(next_share(now), now);
 }
 
 void rollout::set_traffic_share(double share, time_point now) {
@@ -194,6 +185,52 @@
         full_traffic_since_.reset();
     } else if (!full_traffic_since_) {
         full_traffic_since_ = now;
+void rollout::set_elapsed(duration elapsed, time_point now) {
+    started_ = now - elapsed;
+    exposure_ = std::max(exposure_, initial_share() * seconds_of(elapsed));
+}
+
+/// True when a version that turns bad on getting all traffic after `delay`, with `share` until then, has got
+/// no more than its share of the requests when it is taken back.
+bool rollout::may_take_all(duration delay, double share, const evidence_summary& evidence,
+                           time_point now) const {
+    const double elapsed = seconds_of(now + delay - started_);
+    const double allowed = std::max(0.001, seconds_of(order_.time_allowed));
+    const double responses = elapsed / allowed >= late_phase_start ? late_phase_responses : min_responses;
+    if (elapsed / allowed < full_traffic_start || evidence.new_responses < responses) {
+        return false;
+    }
+    const double reaction = seconds_of(reaction_time);
+    const double exposure = exposure_ + share * seconds_of(delay) + reaction;
+    const double rate = std::max(1.0, evidence.responses / std::max(0.001, seconds_of(now - started_)));
+    return exposure <=
+           settings_.exposure_share * (elapsed + reaction) + slack_part * settings_.exposure_slack / rate;
+}
+
+double rollout::next_share(time_point now) const {
+    if (traffic_share_ >= 1.0) {
+        return traffic_share_;
+    }
+    const auto evidence = summarize();
+    if (may_take_all(duration{0}, 0, evidence, now)) {
+        return 1.0;
+    }
+    const bool trial =
+        may_take_all(trial_time, trial_share, evidence, now) ||
+        (traffic_share_ >= trial_share && may_take_all(trial_time / 2, trial_share, evidence, now));
+    return trial ? trial_share : initial_share();
+}
+
+rollout::evidence_summary rollout::summarize() const {
+    const auto evidence = collect();
+    const auto overall = evidence.find(all_routes);
+    if (overall == evidence.end()) {
+        return {};
+    }
+    const auto count = [](const totals& entry) { return entry.answered + entry.failed; };
+    return {count(overall->second[0]) + count(overall->second[1]), count(overall->second[1])};
+}
+
     }
 }
 
@@ -213,3 +250,7 @@
 }
 
 } // namespace endive::mesh
+    if (share_set_at_ && now > *share_set_at_) {
+        exposure_ += traffic_share_ * seconds_of(now - *share_set_at_);
+    }
+    share_set_at_ = now;
--- a/src/sidecar/rollouts.cpp
+++ b/src/sidecar/rollouts.cpp
@@ -5,6 +5,7 @@
 #include "platform/wire.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace endive::sidecar {
 namespace {
@@ -46,7 +47,8 @@
     item.order_version = row.version;
     item.rollout.emplace(order, settings_, now);
     item.start_recorded = false;
-    item.credit = 0;
+    // Each daemon starts elsewhere, so that the share also holds over many daemons with few requests each.
+    item.credit = std::ldexp(static_cast<double>(stable_hash(daemon_, row.version)), -64);
     item.received.clear();
     for (const auto& [daemon, last] : evidence_) {
         item.rollout->on_evidence(daemon, last.start, last.counters);
--- a/src/sidecar/rollouts.h
+++ b/src/sidecar/rollouts.h
@@ -25,7 +25,8 @@
 /// Not thread safe.
 class rollouts {
 public:
-    explicit rollouts(const sidecar_settings& settings) : settings_{settings.exposure_share} {}
+    explicit rollouts(const sidecar_settings& settings)
+        : settings_{settings.exposure_share, settings.exposure_slack}, daemon_{settings.name} {}
     /// Handles an order of the operator. Throws `error` with `platform_bad_answer`, as `on_status` does.
     void on_order(const mesh::store_row& row, time_point now);
     void on_status(const mesh::store_row& row);
@@ -87,6 +88,7 @@
     std::map<std::string, entry> services_;
     time_point last_advance_{};
     std::optional<time_point> resumed_; ///< end of the last pause of this daemon during a rollout
+    std::string daemon_;
     struct latest {
         std::int64_t start = 0;
         std::vector<mesh::version_evidence> counters;
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -50,6 +50,9 @@
     constexpr double max_retry_slack = 1'000'000;
     result.retry_slack = reader.optional_number("retry_slack", result.retry_slack, 0.0, max_retry_slack);
     result.exposure_share = reader.optional_number("exposure_share", result.exposure_share, 0.0, 1.0);
+    constexpr double max_exposure_slack = 1'000'000;
+    result.exposure_slack =
+        reader.optional_number("exposure_slack", result.exposure_slack, 0.0, max_exposure_slack);
     return result;
 }
 
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -28,6 +28,7 @@
     double retry_slack = 60;       ///< retries in a window beyond the ratio
     bool first_start = false;      ///< the whole system starts for the first time
     double exposure_share = 0.1;   ///< maximum traffic share of a version not yet proven good
+    double exposure_slack = 0;     ///< number of requests that it may get beyond that share
     /// `memory_mb` divided by `divisor`, in bytes.
     [[nodiscard]] std::size_t memory_part(std::size_t divisor) const {
         constexpr std::size_t bytes_per_mb = 1024UL * 1024;
