Send requests to the version in use, not to every version but the new one

Cause: with an order, every version but the ordered one counted as old, and its own daemons accepted work again.

Daemons now keep what earlier rollouts have shown: the last completed version is used, one whose rollout did not complete is not, and its daemons refuse work for it. Where this is unknown, the version of the endpoint that started first is used, as without an order. The record of a rollout's start carries the knowledge to daemons that restart or were cut off.

path_test 'a version that was rolled back gets no requests during the next rollout' failed before: the rolled back version got requests.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <deque>
+#include <set>
 #include <span>
 #include <unordered_map>
 
@@ -685,14 +686,36 @@
 
 struct rollout_settings {
     double exposure_share = 0.1; ///< maximum traffic share of a version not yet proven good
-    friend auto operator<=>(const rollout_settings&, const rollout_settings&) = default;
     double exposure_slack = 0;   ///< number of requests that it may get beyond that share
+    friend auto operator<=>(const rollout_settings&, const rollout_settings&) = default;
+};
+
+/// What earlier rollouts of a service have shown of its versions. Not thread safe.
+class version_history {
+public:
+    /// The rollout to `version` ended, or another one was ordered in its place.
+    void on_end(const std::string& version, bool completed);
+    /// A rollout to `version` was ordered, perhaps again.
+    void on_order(const std::string& version) { rejected_.erase(version); }
+    /// Takes what another daemon knows.
+    void merge(const std::string& stable, std::span<const std::string> rejected, const std::string& ordered);
+    /// The version of the last completed rollout; empty when unknown.
+    [[nodiscard]] const std::string& stable() const { return stable_; }
+    /// True when the last rollout to `version` did not complete.
+    [[nodiscard]] bool is_rejected(std::string_view version) const { return rejected_.contains(version); }
+    [[nodiscard]] std::vector<std::string> rejected() const { return {rejected_.begin(), rejected_.end()}; }
+
+private:
+    std::string stable_;
+    std::set<std::string, std::less<>> rejected_;
 };
 
 /// Record of when a rollout began, kept in the store for daemons that start later.
 struct rollout_start {
     std::uint64_t order_version = 0;          ///< version of the order's row in the store
     std::optional<milliseconds> store_time{}; ///< by the store's clock; empty in rows of earlier versions
+    std::string stable_version{};             ///< see `version_history`; empty when unknown
+    std::vector<std::string> rejected_versions{};
     friend auto operator<=>(const rollout_start&, const rollout_start&) = default;
 };
 [[nodiscard]] std::string encode(const rollout_start& value);
@@ -748,6 +771,14 @@
         double latency_us = 0;
         void add(const version_evidence& last, const version_evidence* first);
     };
+    struct evidence_summary {
+        double responses = 0; ///< of both versions
+        double new_responses = 0;
+    };
+    [[nodiscard]] evidence_summary summarize() const;
+    [[nodiscard]] bool may_take_all(duration delay, double share, const evidence_summary& evidence,
+                                    time_point now) const;
+    [[nodiscard]] double next_share(time_point now) const;
     using route_totals = std::map<std::string, std::array<totals, 2>, std::less<>>;
     [[nodiscard]] route_totals collect() const;
     void evaluate();
@@ -757,6 +788,8 @@
     rollout_settings settings_;
     time_point started_;
     double traffic_share_ = 0;
+    double exposure_ = 0; ///< the traffic share added up over time, in seconds of full traffic
+    std::optional<time_point> share_set_at_;
     bool bad_ = false;
     std::string verdict_reason_;
     std::optional<rollout_state> final_;
@@ -771,14 +804,4 @@
 
 // NOLINTEND(modernize-use-nullptr)
 
-    struct evidence_summary {
-        double responses = 0; ///< of both versions
-        double new_responses = 0;
-    };
-    [[nodiscard]] evidence_summary summarize() const;
-    [[nodiscard]] bool may_take_all(duration delay, double share, const evidence_summary& evidence,
-                                    time_point now) const;
-    [[nodiscard]] double next_share(time_point now) const;
 } // namespace endive::mesh
-    double exposure_ = 0; ///< the traffic share added up over time, in seconds of full traffic
-    std::optional<time_point> share_set_at_;
--- a/src/mesh/rollout.cpp
+++ b/src/mesh/rollout.cpp
@@ -43,11 +43,39 @@
 
 } // namespace
 
+void version_history::on_end(const std::string& version, bool completed) {
+    if (completed) {
+        stable_ = version;
+        rejected_.erase(version);
+    } else if (version != stable_) {
+        rejected_.insert(version);
+    }
+}
+
+void version_history::merge(const std::string& stable, std::span<const std::string> rejected,
+                            const std::string& ordered) {
+    if (!stable.empty()) {
+        stable_ = stable;
+        rejected_.erase(stable);
+    }
+    for (const auto& version : rejected) {
+        if (version != stable_ && version != ordered) {
+            rejected_.insert(version);
+        }
+    }
+}
+
 std::string encode(const rollout_start& value) {
     json row{{"order", value.order_version}};
     if (value.store_time) {
         row["started_store_ms"] = value.store_time->count();
     }
+    if (!value.stable_version.empty()) {
+        row["stable"] = value.stable_version;
+    }
+    if (!value.rejected_versions.empty()) {
+        row["rejected"] = value.rejected_versions;
+    }
     return row.dump();
 }
 
@@ -56,7 +84,13 @@
     const auto is_time = [](const json& value) {
         return value.is_number_unsigned() && value.get<std::uint64_t>() <= std::uint64_t{max_unix_ms};
     };
+    const auto is_text = [](const json& value) { return value.is_string(); };
+    const auto is_text_list = [&](const json& value) {
+        return value.is_array() && std::all_of(value.begin(), value.end(), is_text);
+    };
     const bool valid = row.is_object() && row.contains("order") && row["order"].is_number_unsigned() &&
+                       (!row.contains("stable") || is_text(row["stable"])) &&
+                       (!row.contains("rejected") || is_text_list(row["rejected"])) &&
                        (!row.contains("started_store_ms") || is_time(row["started_store_ms"]));
     if (!valid) {
         throw error{result_code::platform_bad_answer, "malformed record of a rollout start"};
@@ -65,6 +99,8 @@
     if (row.contains("started_store_ms")) {
         result.store_time = milliseconds{row["started_store_ms"].get<std::int64_t>()};
     }
+    result.stable_version = row.value("stable", std::string{});
+    result.rejected_versions = row.value("rejected", std::vector<std::string>{});
     return result;
 }
 
@@ -165,26 +201,6 @@
     return settings_.exposure_share * first_step_ratio;
 }
 
-void rollout::advance(time_point now) {
-    if (final_) {
-        return;
-    }
-    if (!bad_) {
-        evaluate();
-    }
-    if (bad_) {
-        set_traffic_share(0, now);
-        return;
-    }
-    set_traffic_share(next_share(now), now);
-}
-
-void rollout::set_traffic_share(double share, time_point now) {
-    traffic_share_ = share;
-    if (traffic_share_ < 1.0) {
-        full_traffic_since_.reset();
-    } else if (!full_traffic_since_) {
-        full_traffic_since_ = now;
 void rollout::set_elapsed(duration elapsed, time_point now) {
     started_ = now - elapsed;
     exposure_ = std::max(exposure_, initial_share() * seconds_of(elapsed));
@@ -231,6 +247,30 @@
     return {count(overall->second[0]) + count(overall->second[1]), count(overall->second[1])};
 }
 
+void rollout::advance(time_point now) {
+    if (final_) {
+        return;
+    }
+    if (!bad_) {
+        evaluate();
+    }
+    if (bad_) {
+        set_traffic_share(0, now);
+        return;
+    }
+    set_traffic_share(next_share(now), now);
+}
+
+void rollout::set_traffic_share(double share, time_point now) {
+    if (share_set_at_ && now > *share_set_at_) {
+        exposure_ += traffic_share_ * seconds_of(now - *share_set_at_);
+    }
+    share_set_at_ = now;
+    traffic_share_ = share;
+    if (traffic_share_ < 1.0) {
+        full_traffic_since_.reset();
+    } else if (!full_traffic_since_) {
+        full_traffic_since_ = now;
     }
 }
 
@@ -250,7 +290,3 @@
 }
 
 } // namespace endive::mesh
-    if (share_set_at_ && now > *share_set_at_) {
-        exposure_ += traffic_share_ * seconds_of(now - *share_set_at_);
-    }
-    share_set_at_ = now;
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -284,36 +284,58 @@
     return result;
 }
 
-std::vector<forwarder::endpoint_option> forwarder::options_for(const active_request& item) const {
-    auto options = ready_options(item.service);
-    const auto& version = item.version;
-    if (!version.target_version.empty()) {
+/// The version whose endpoints serve what no rollout sends to its new version: that of the last completed
+/// rollout, otherwise that of the endpoint that started first. A version that appears later has to be
+/// ordered, and one whose rollout did not complete is used only when there is no other. Empty when none is
+/// known.
+std::string forwarder::version_in_use(std::span<const endpoint_option> options,
+                                      const std::string& service) const {
+    const auto* history = moves_.history(service);
+    const auto is_rejected = [&](const endpoint_option& entry) {
+        return history != nullptr && history->is_rejected(entry.about->version);
+    };
+    const endpoint_option* best = nullptr;
+    for (const auto& entry : options) {
+        const auto& about = *entry.about;
+        if (about.version.empty() || about.endpoint_start_unix_ms == 0) {
+            continue;
+        }
+        if (history != nullptr && about.version == history->stable()) {
+            return about.version;
+        }
+        if (best == nullptr || std::pair{is_rejected(entry), about.endpoint_start_unix_ms} <
+                                   std::pair{is_rejected(*best), best->about->endpoint_start_unix_ms}) {
+            best = &entry;
+        }
+    }
+    return best == nullptr ? std::string{} : best->about->version;
+}
+
+/// Keeps the endpoints of the version that the request may be sent to.
+void forwarder::select_version(std::vector<endpoint_option>& options, const active_request& item) const {
+    const auto& choice = item.version;
+    if (!choice.target_version.empty()) {
         const auto is_new = [&](const endpoint_option& entry) {
-            return entry.about->version == version.target_version;
+            return entry.about->version == choice.target_version;
         };
         const bool any_new = std::any_of(options.begin(), options.end(), is_new);
-        const bool use_new = version.only_new || (version.use_new && any_new && item.attempts_used() == 0);
+        const bool use_new = choice.only_new || (choice.use_new && any_new && item.attempts_used() == 0);
         std::erase_if(options, [&](const endpoint_option& entry) {
             return is_new(entry) != use_new || entry.about->version.empty();
         });
-    } else if (!options.empty()) {
-        // Without a rollout order, only the version of the endpoint that started first is used: a version
-        // that appears later has to be ordered.
-        const endpoint_option* oldest = nullptr;
-        for (const auto& entry : options) {
-            const bool known = !entry.about->version.empty() && entry.about->endpoint_start_unix_ms != 0;
-            if (known && (oldest == nullptr ||
-                          entry.about->endpoint_start_unix_ms < oldest->about->endpoint_start_unix_ms)) {
-                oldest = &entry;
-            }
-        }
-        if (oldest != nullptr) {
-            const auto version_in_use = oldest->about->version;
-            std::erase_if(options, [&](const endpoint_option& entry) {
-                return !entry.about->version.empty() && entry.about->version != version_in_use;
-            });
+        if (use_new) {
+            return;
         }
     }
+    const auto in_use = version_in_use(options, item.service);
+    std::erase_if(options, [&](const endpoint_option& entry) {
+        return !in_use.empty() && !entry.about->version.empty() && entry.about->version != in_use;
+    });
+}
+
+std::vector<forwarder::endpoint_option> forwarder::options_for(const active_request& item) const {
+    auto options = ready_options(item.service);
+    select_version(options, item);
     std::erase_if(options, [&](const endpoint_option& entry) {
         return std::any_of(item.attempts.begin(), item.attempts.end(), [&](const attempt_trace& attempt) {
             return attempt.daemon == entry.about->daemon && attempt.why != mesh::reason::busy;
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -31,6 +31,9 @@
     struct endpoint_option;
     /// Sends the request to the best endpoint; with `only_if_free` it does not wait there.
     void attempt(const std::shared_ptr<active_request>& item, bool only_if_free = false);
+    [[nodiscard]] std::string version_in_use(std::span<const endpoint_option> options,
+                                             const std::string& service) const;
+    void select_version(std::vector<endpoint_option>& options, const active_request& item) const;
     [[nodiscard]] std::vector<endpoint_option> options_for(const active_request& item) const;
     /// Removes endpoints that recently rejected a similar request for lack of capacity and would reject this
     /// one.
--- a/src/sidecar/rollouts.cpp
+++ b/src/sidecar/rollouts.cpp
@@ -44,6 +44,11 @@
     if (running().empty()) {
         last_advance_ = now;
     }
+    if (item.rollout && item.rollout->order().to != order.to) {
+        item.history.on_end(item.rollout->order().to,
+                            item.rollout->final_state() == mesh::rollout_state::completed);
+    }
+    item.history.on_order(order.to);
     item.order_version = row.version;
     item.rollout.emplace(order, settings_, now);
     item.start_recorded = false;
@@ -79,13 +84,16 @@
                              {"version", row.version}});
 }
 
-void rollouts::on_start(std::string_view service, std::uint64_t order_version,
+void rollouts::on_start(std::string_view service, const mesh::rollout_start& start,
                         std::optional<duration> elapsed, time_point now) {
     const auto found = services_.find(std::string{service});
-    if (found == services_.end() || found->second.order_version != order_version || !found->second.rollout) {
+    if (found == services_.end() || found->second.order_version != start.order_version ||
+        !found->second.rollout) {
         return;
     }
     found->second.start_recorded = true;
+    found->second.history.merge(start.stable_version, start.rejected_versions,
+                                found->second.rollout->order().to);
     if (elapsed && *elapsed > duration{0}) {
         found->second.rollout->set_elapsed(*elapsed, now);
     }
@@ -223,6 +231,9 @@
     if (version == item.rollout->order().to) {
         return final == mesh::rollout_state::rolled_back;
     }
+    if (item.history.is_rejected(version)) {
+        return true;
+    }
     // After a rollback the old version receives all traffic again, whatever share the new version had
     // reached.
     return final ? final == mesh::rollout_state::completed
@@ -254,10 +265,17 @@
     std::vector<active_rollout> result;
     for (const auto& [service, item] : services_) {
         if (item.rollout && !item.rollout->final_state() && !item.start_recorded) {
-            result.push_back({item.order_version, service});
+            result.push_back(
+                {service,
+                 {item.order_version, std::nullopt, item.history.stable(), item.history.rejected()}});
         }
     }
     return result;
 }
 
+const mesh::version_history* rollouts::history(const std::string& service) const {
+    const auto found = services_.find(service);
+    return found == services_.end() ? nullptr : &found->second.history;
+}
+
 } // namespace endive::sidecar
--- a/src/sidecar/rollouts.h
+++ b/src/sidecar/rollouts.h
@@ -32,7 +32,7 @@
     void on_status(const mesh::store_row& row);
     /// A row in the daemons' own table records that the rollout began; `elapsed` is the time since then,
     /// empty when this daemon does not know the clock that the row was written by.
-    void on_start(std::string_view service, std::uint64_t order_version, std::optional<duration> elapsed,
+    void on_start(std::string_view service, const mesh::rollout_start& start, std::optional<duration> elapsed,
                   time_point now);
     void on_evidence(const std::string& daemon, std::int64_t start,
                      std::span<const mesh::version_evidence> counters);
@@ -59,11 +59,13 @@
     due_statuses(time_point now,
                  const std::function<bool(const std::string&, const std::string&)>& old_idle) const;
     struct active_rollout {
-        std::uint64_t order_version = 0;
         std::string service;
+        mesh::rollout_start start; ///< without its time
     };
     /// Rollouts whose start is not recorded in the store yet.
     [[nodiscard]] std::vector<active_rollout> unrecorded_starts() const;
+    /// What earlier rollouts of the service have shown of its versions; null without any order.
+    [[nodiscard]] const mesh::version_history* history(const std::string& service) const;
 
 private:
     struct entry {
@@ -72,6 +74,7 @@
         std::uint64_t status_version = 0;
         std::optional<mesh::rollout_status> status;
         bool start_recorded = false;
+        mesh::version_history history;
         double credit = 0; ///< accumulated traffic share; the new version is chosen at 1
         bool evaluated_here = false;
         time_point share_confirmed{}; ///< when an evaluator last set the traffic share
@@ -85,10 +88,10 @@
     [[nodiscard]] bool may_evaluate(time_point now) const;
     void apply_status(entry& item);
     mesh::rollout_settings settings_;
+    std::string daemon_;
     std::map<std::string, entry> services_;
     time_point last_advance_{};
     std::optional<time_point> resumed_; ///< end of the last pause of this daemon during a rollout
-    std::string daemon_;
     struct latest {
         std::int64_t start = 0;
         std::vector<mesh::version_evidence> counters;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -320,7 +320,7 @@
         if (now && start.store_time) {
             elapsed = *now - *start.store_time;
         }
-        rollouts_.on_start(row.key.substr(start_prefix.size()), start.order_version, elapsed, clock_.now());
+        rollouts_.on_start(row.key.substr(start_prefix.size()), start, elapsed, clock_.now());
     }
 }
 
--- a/src/sidecar/sidecar_moves.cpp
+++ b/src/sidecar/sidecar_moves.cpp
@@ -64,8 +64,8 @@
         if (!started) {
             continue;
         }
-        const mesh::rollout_start start{move.order_version,
-                                        std::chrono::duration_cast<milliseconds>(*started)};
+        auto start = move.start;
+        start.store_time = std::chrono::duration_cast<milliseconds>(*started);
         const mesh::store_row row{std::string{own_table}, key, mesh::encode(start), 0};
         const auto* known = rows_.find(own_table, key);
         duties.emplace_back(key, [this, key, row, expected = known == nullptr ? 0 : known->version] {
--- a/tests/sidecar/path_test.cpp
+++ b/tests/sidecar/path_test.cpp
@@ -68,6 +68,49 @@
     CHECK_FALSE(row.contains("started_unix_ms"));
 }
 
+// Guards against a version that was rolled back and gets half of the requests again once another version is
+// ordered: its endpoints counted as those of the old version.
+TEST_CASE("a version that was rolled back gets no requests during the next rollout") {
+    mesh_fixture f;
+    f.store.put("op", "config", configuration(3, "books"));
+    vm front{f.loop, f.clock, f.store, "vm-a", "web"};
+    std::vector<std::unique_ptr<vm>> backs;
+    for (const std::string version : {"v1", "v2", "v3"}) {
+        backs.push_back(std::make_unique<vm>(f.loop, f.clock, f.store, "vm-" + version, "books"));
+        auto& back = *backs.back();
+        back.version = version;
+        raw_client endpoint{f.loop, back.settings.announcements_address};
+        endpoint.send(back.heartbeat(1));
+        REQUIRE(run_until(f.loop, [&] { return endpoint.received().find("200 OK") != std::string::npos; }));
+        if (version == "v1") {
+            REQUIRE(f.ask(front.settings.callers_address, "served by i-vm-v1").find("200 OK") !=
+                    std::string::npos);
+        }
+    }
+    f.store.put("op", "rollout/books", R"({"Service":"books","To":"v2","Duration":"16s"})");
+    REQUIRE(run_until(f.loop, [&] { return f.store.find("status", "rollout/books").has_value(); }));
+    f.store.put("status", "rollout/books", R"({"Service":"books","To":"v2","State":"rolled_back"})");
+    run_steps(f.loop, 200);
+    f.store.put("op", "rollout/books", R"({"Service":"books","To":"v3","Duration":"16s"})");
+    REQUIRE(run_until(f.loop, [&] {
+        const auto status = f.store.find("status", "rollout/books");
+        return status && json::parse(status->value).at("To") == "v3";
+    }));
+    for (const auto& back : backs) {
+        back->callers.clear();
+    }
+    // A daemon that has seen neither the order nor the verdict learns of them from the record of the start.
+    vm restarted{f.loop, f.clock, f.store, "vm-r", "web"};
+    for (const auto* asked : {&front, &restarted}) {
+        REQUIRE(f.ask(asked->settings.callers_address, "served by").find("200 OK") != std::string::npos);
+        for (int i = 0; i < 30; ++i) {
+            (void)f.ask(asked->settings.callers_address, "HTTP/1.1");
+        }
+    }
+    CHECK(backs[0]->callers.size() >= 55);
+    CHECK(backs[1]->callers.empty());
+}
+
 // Guards against two daemons that start together never finding each other, because each read the members
 // before the other's row was written.
 TEST_CASE("daemons that start at the same time find each other") {
--- a/tests/sidecar/vm.h
+++ b/tests/sidecar/vm.h
@@ -91,7 +91,7 @@
         const json body{{"Service", settings.service},
                         {"Address", endpoint_address},
                         {"Zone", "z"},
-                        {"Version", "v1"},
+                        {"Version", version},
                         {"Slots", 4},
                         {"State", state},
                         {"ColdRemaining", "0ms"},
@@ -110,9 +110,10 @@
         }
     }
 
-    std::size_t padding = 0; ///< bytes added to the bodies of responses
-    bool holding = false;    ///< requests are kept open until `release`
-    bool refusing = false;   ///< requests are refused as not executed
+    std::string version = "v1"; ///< of the backend server, told by its heartbeats
+    std::size_t padding = 0;    ///< bytes added to the bodies of responses
+    bool holding = false;       ///< requests are kept open until `release`
+    bool refusing = false;      ///< requests are refused as not executed
     std::vector<std::shared_ptr<exchange>> held;
     std::string endpoint_id;
     std::string endpoint_address;
