Go on handling SIGHUP after an unexpected exception

Found by the search for the class of the accept chain: the next wait for the signal began after the settings had been read, and only one type of exception was caught there. The reading is guarded now, like the handling of a connection. No test of its own: the file's errors are all of the caught type today.

--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -30,6 +30,16 @@
     return path;
 }
 
+void check_changed_settings(const endive::sidecar::sidecar_settings& settings) {
+    try {
+        const auto changed = endive::sidecar::read_settings(settings_path());
+        endive::sidecar::log(endive::sidecar::event::settings_reloaded, {{"changed", changed != settings}});
+    } catch (const endive::error& cause) {
+        endive::sidecar::log(endive::sidecar::event::settings_rejected,
+                             {{"place", cause.location()}, {"reason", cause.what()}});
+    }
+}
+
 void run(const endive::sidecar::sidecar_settings& settings) {
     boost::asio::io_context loop{1};
     const endive::boot_clock_source clock;
@@ -45,14 +55,7 @@
         if (code) {
             return;
         }
-        try {
-            const auto changed = endive::sidecar::read_settings(settings_path());
-            endive::sidecar::log(endive::sidecar::event::settings_reloaded,
-                                 {{"changed", changed != settings}});
-        } catch (const endive::error& cause) {
-            endive::sidecar::log(endive::sidecar::event::settings_rejected,
-                                 {{"place", cause.location()}, {"reason", cause.what()}});
-        }
+        endive::sidecar::run_guarded("reload of the settings", [&] { check_changed_settings(settings); });
         reload_signal.async_wait(reload);
     };
     reload_signal.async_wait(reload);
