Close a connection after a refusal of the backend server, in endived

Report of other operators, in endived: its backend servers do not echo an id, so a refusal that one writes once more before its answer passed for the answer, and the caller was told 'not run' of a payment that ran. A connection that carried a refusal is no longer reused. The test failed before (503 in place of 200); the other 24 tests of the callers library pass. Cost: a connection for each refusal.

--- a/src/backends/http_exchange.cpp
+++ b/src/backends/http_exchange.cpp
@@ -134,7 +134,8 @@
     result_.reports_not_run = find_header(buffer_.head, "endive-outcome") == "not-run";
     result_.reports_unknown = find_header(buffer_.head, "endive-outcome") == "unknown";
     result_.from_deeper_layer = !find_header(buffer_.head, "endive-reason").empty();
-    release(result_.transport == transport_result::answered);
+    // A duplicate of the refusal could not be told from the answer to the next request.
+    release(result_.transport == transport_result::answered && !result_.reports_not_run);
 }
 
 void http_exchange::cancel() {
--- a/tests/callers/faults_test.cpp
+++ b/tests/callers/faults_test.cpp
@@ -90,6 +90,22 @@
     }
 }
 
+// Guards against a caller who is told that its request has not run, because the backend server repeats an
+// earlier refusal on a kept connection while it runs the request.
+TEST_CASE("a duplicate of an earlier refusal is not taken for the answer to a running request") {
+    scripted_backend backend{[](const script_request& request) {
+        const auto answer = answer_ok(request);
+        if (request.line().find("/pay/1") != std::string::npos) {
+            return shed();
+        }
+        return request.on_connection > 1 ? script_step{shed().bytes + answer.bytes} : answer;
+    }};
+    proxy_fixture proxy{{backend.address()}};
+    CHECK(call(proxy.server.port(), "POST", "/pay/1", {}, "x").status == 503);
+    CHECK(call(proxy.server.port(), "POST", "/pay/2", {}, "x").status == 200);
+    CHECK(backend.executions("/pay/2") == 1);
+}
+
 TEST_CASE("garbage from a backend server is a gateway error") {
     scripted_backend backend{[](const script_request&) {
         return script_step{"\x01\x02 garbage\r\n\r\n", 0ms, true};
