Report when an endpoint accepts no more work and when its work has ended

A rollout completes when no endpoint of the old version has work, but since loads are reported only when they matter, the last two requests of an endpoint were never reported as ended, and other failure domains heard of no change at all: 'accepting' was set in replies only, and an endpoint without requests sends none.

The reported load says whether the endpoint accepts work, and an endpoint that accepts none reports to all daemons when its work has ended. placement_test 'an endpoint that accepts no more work reports that it is idle' failed before.

--- a/src/mesh/choice.cpp
+++ b/src/mesh/choice.cpp
@@ -154,7 +154,9 @@
         const auto [less_use, more_use] = std::minmax(load.link_use, reported_->link_use);
         const bool link_changed =
             more_use - less_use >= large_link_change && more_use >= 2 * large_link_change;
-        due = load.accepting != reported_->accepting || (link_changed && since >= min_report_interval) ||
+        const bool became_idle = !load.accepting && load.outstanding == 0 && reported_->outstanding > 0;
+        due = load.accepting != reported_->accepting || became_idle ||
+              (link_changed && since >= min_report_interval) ||
               (full_changed && since >= limited(full_change_interval)) ||
               (change * 2 >= load.slots && since >= limited(large_change_interval)) ||
               (change >= std::max(2U, load.slots / 4) && since >= limited(small_change_interval));
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -164,6 +164,7 @@
 
 mesh::endpoint_load endpoint_service::load() const {
     auto result = gate_.load();
+    result.accepting = may_start();
     result.link_use = link_use_;
     return result;
 }
@@ -190,7 +191,6 @@
     jobs_.erase(item->id);
     message.stream = item->call.stream;
     message.load = load();
-    message.load.accepting = may_start();
     counters_.add("endpoint_" + std::string{to_string(message.why)});
     // The daemon that sent the request logs all endpoints that were busy.
     if (message.outcome != mesh::attempt_outcome::answered && message.why != mesh::reason::busy) {
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -60,7 +60,7 @@
     /// Broadcasts within the failure domain whether this daemon's reads of the store succeed.
     void publish_reading(bool reading);
     /// Broadcasts the load to the peers in this failure domain, or to all peers with `to_all`, which is for
-    /// changes of `accepting`.
+    /// changes of `accepting` and for endpoints that accept no more work.
     void publish_load(const mesh::endpoint_load& load, bool to_all);
     void send_evidence(const std::string& daemon, const std::vector<mesh::version_evidence>& counters);
     void publish_progress(const std::vector<mesh::rollout_progress>& moves);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -580,7 +580,8 @@
     }
     const auto load = local_.load();
     if (load_reports_.take_due(load, now)) {
-        peers_.publish_load(load, load.accepting != published_accepting_);
+        // All daemons wait for the end of the work at endpoints of a version that has been replaced.
+        peers_.publish_load(load, load.accepting != published_accepting_ || !load.accepting);
         published_accepting_ = load.accepting;
     }
     const bool reads_members = operator_rows_.is_active() || peers_.link_count() == 0;
--- a/tests/mesh/placement_test.cpp
+++ b/tests/mesh/placement_test.cpp
@@ -226,3 +226,13 @@
     const auto result = fleet_run{1.25, false}.run(30s);
     CHECK(result.calls < 1.5 * result.requests);
 }
+
+// Guards against a rollout that misses its deadline: it completes when no endpoint of the old version has work
+// left, and the last two requests of each were never reported as ended.
+TEST_CASE("an endpoint that accepts no more work reports that it is idle") {
+    const time_point start{std::chrono::hours{1}};
+    load_reporter reporter;
+    REQUIRE(reporter.take_due({2, 12, 300ms, 0.3, false}, start));
+    CHECK(reporter.take_due({0, 12, 300ms, 0.3, false}, start + 100ms));
+    CHECK_FALSE(reporter.take_due({0, 12, 300ms, 0.3, false}, start + 200ms));
+}
