--- a/tests/mesh/placement_test.cpp
+++ b/tests/mesh/placement_test.cpp
@@ -227,8 +227,8 @@
     CHECK(result.calls < 1.5 * result.requests);
 }
 
-// Guards against a rollout that misses its deadline: it completes when no endpoint of the old version has work
-// left, and the last two requests of each were never reported as ended.
+// Guards against a rollout that misses its deadline: it completes when no endpoint of the old version has
+// work left, and the last two requests of each were never reported as ended.
 TEST_CASE("an endpoint that accepts no more work reports that it is idle") {
     const time_point start{std::chrono::hours{1}};
     load_reporter reporter;
