Judge a new version by its recent responses too, and send failures at once

The responses of the last 1.5 s of both versions are compared as well, which also keeps a fault of the environment, that reaches both at the same time, from counting against the version alone; a failure is reported with the next tick.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -770,6 +770,8 @@
         double failed = 0;
         double latency_us = 0;
         void add(const version_evidence& last, const version_evidence* first);
+        /// What was added since `base`; a daemon's restart may make it less.
+        [[nodiscard]] totals since(const totals& base) const;
     };
     struct evidence_summary {
         double responses = 0; ///< of both versions
@@ -779,9 +781,12 @@
     [[nodiscard]] bool may_take_all(duration delay, double share, const evidence_summary& evidence,
                                     time_point now) const;
     [[nodiscard]] double next_share(time_point now) const;
+    [[nodiscard]] double rate_of(const evidence_summary& evidence, time_point now) const;
     using route_totals = std::map<std::string, std::array<totals, 2>, std::less<>>;
     [[nodiscard]] route_totals collect() const;
-    void evaluate();
+    void evaluate(time_point now);
+    /// The totals of some time ago, from which the recent ones are counted.
+    [[nodiscard]] const route_totals& recent_base(const route_totals& current, time_point now);
     void set_traffic_share(double share, time_point now);
     void evaluate_route(std::string_view route, const totals& old_version, const totals& new_version);
     rollout_order order_;
@@ -790,6 +795,11 @@
     double traffic_share_ = 0;
     double exposure_ = 0; ///< the traffic share added up over time, in seconds of full traffic
     std::optional<time_point> share_set_at_;
+    struct snapshot {
+        time_point at;
+        route_totals evidence;
+    };
+    std::deque<snapshot> snapshots_; ///< the oldest first
     bool bad_ = false;
     std::string verdict_reason_;
     std::optional<rollout_state> final_;
--- a/src/mesh/rollout.cpp
+++ b/src/mesh/rollout.cpp
@@ -7,7 +7,7 @@
 
 /// Initial traffic share, as a ratio of the maximum share of an unproven version: full traffic needs the rest
 /// until a fault that shows only then is noticed.
-constexpr double first_step_ratio = 0.3;
+constexpr double first_step_ratio = 0.2;
 /// The new version gets all traffic once this ratio of the allowed time has elapsed, and before that a part
 /// of it for a short time. Enough time remains for completion.
 constexpr double full_traffic_start = 0.6;
@@ -21,9 +21,14 @@
 constexpr double late_phase_responses = 8;
 /// Time from a step until no daemon sends the version anything, if it turns bad with the step: its failures
 /// come back, are reported and evaluated, and the verdict reaches all daemons.
-constexpr duration reaction_time = milliseconds{600};
-/// Part of the allowed number of requests beyond the share that is used.
-constexpr double slack_part = 0.5;
+constexpr duration reaction_time = milliseconds{800};
+/// Part of the allowed number of requests beyond the share that is used: for the first step, where there is
+/// little traffic, and for the last one.
+constexpr double first_slack_part = 0.2;
+constexpr double last_slack_part = 0.5;
+/// Responses of this time count as recent.
+constexpr duration recent_time = milliseconds{1500};
+constexpr duration snapshot_interval = milliseconds{250};
 /// Minimum number of failures for a verdict: a fault of the environment may cause one or two.
 constexpr double min_failures = 4;
 /// A new version is bad when its failure rate exceeds the old one's by this factor and margin.
@@ -189,8 +194,36 @@
     }
 }
 
-void rollout::evaluate() {
-    for (const auto& [route, versions] : collect()) {
+rollout::totals rollout::totals::since(const totals& base) const {
+    totals result;
+    result.answered = std::max(0.0, answered - base.answered);
+    result.failed = std::max(0.0, failed - base.failed);
+    result.latency_us = std::max(0.0, latency_us - base.latency_us);
+    return result;
+}
+
+const rollout::route_totals& rollout::recent_base(const route_totals& current, time_point now) {
+    if (snapshots_.empty() || now - snapshots_.back().at >= snapshot_interval) {
+        snapshots_.push_back({now, current});
+    }
+    while (snapshots_.size() > 1 && now - snapshots_[1].at >= recent_time) {
+        snapshots_.pop_front();
+    }
+    return snapshots_.front().evidence;
+}
+
+/// Evaluates all responses since the rollout began, for faults that are rare, and the recent ones, for faults
+/// that begin with more traffic and for those of the environment, which reach both versions at the same time.
+void rollout::evaluate(time_point now) {
+    const auto current = collect();
+    const auto& base = recent_base(current, now);
+    for (const auto& [route, versions] : current) {
+        const auto earlier = base.find(route);
+        const bool has_base = earlier != base.end();
+        if (!bad_ && has_base) {
+            evaluate_route(route, versions[0].since(earlier->second[0]),
+                           versions[1].since(earlier->second[1]));
+        }
         if (!bad_) {
             evaluate_route(route, versions[0], versions[1]);
         }
@@ -218,9 +251,9 @@
     }
     const double reaction = seconds_of(reaction_time);
     const double exposure = exposure_ + share * seconds_of(delay) + reaction;
-    const double rate = std::max(1.0, evidence.responses / std::max(0.001, seconds_of(now - started_)));
-    return exposure <=
-           settings_.exposure_share * (elapsed + reaction) + slack_part * settings_.exposure_slack / rate;
+    const double rate = rate_of(evidence, now);
+    return exposure <= settings_.exposure_share * (elapsed + reaction) +
+                           last_slack_part * settings_.exposure_slack / rate;
 }
 
 double rollout::next_share(time_point now) const {
@@ -234,7 +267,15 @@
     const bool trial =
         may_take_all(trial_time, trial_share, evidence, now) ||
         (traffic_share_ >= trial_share && may_take_all(trial_time / 2, trial_share, evidence, now));
-    return trial ? trial_share : initial_share();
+    const double requests = rate_of(evidence, now) * seconds_of(order_.time_allowed);
+    const double first_share = std::min(
+        settings_.exposure_share, initial_share() + first_slack_part * settings_.exposure_slack / requests);
+    return trial ? trial_share : first_share;
+}
+
+/// Responses per second of both versions.
+double rollout::rate_of(const evidence_summary& evidence, time_point now) const {
+    return std::max(1.0, evidence.responses / std::max(0.001, seconds_of(now - started_)));
 }
 
 rollout::evidence_summary rollout::summarize() const {
@@ -252,7 +293,7 @@
         return;
     }
     if (!bad_) {
-        evaluate();
+        evaluate(now);
     }
     if (bad_) {
         set_traffic_share(0, now);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -106,6 +106,7 @@
     std::optional<time_point> idle_since_; ///< while stopping
     std::vector<mesh::rollout_progress> published_progress_;
     time_point next_evidence_{};
+    std::uint64_t reported_failures_ = 0;
     time_point next_summary_{};
     std::map<std::string, std::uint64_t> summarized_;
     time_point next_progress_{};
--- a/src/sidecar/sidecar_moves.cpp
+++ b/src/sidecar/sidecar_moves.cpp
@@ -92,7 +92,12 @@
     if (running.empty()) {
         return;
     }
-    if (now >= next_evidence_ && !local_.evidence().empty()) {
+    std::uint64_t failures = 0;
+    for (const auto& entry : local_.evidence()) {
+        failures += entry.failed;
+    }
+    const bool has_failed = std::exchange(reported_failures_, failures) != failures;
+    if ((now >= next_evidence_ || has_failed) && !local_.evidence().empty()) {
         next_evidence_ = now + evidence_interval;
         for (const auto& service : running) {
             if (service == self_.service) {
