--- a/review/2/case.py
+++ b/review/2/case.py
@@ -44,6 +44,7 @@
         await asyncio.sleep(4)
         # The new version fails all requests of one route.
         for machine in new:
+            machine.bootstrap = False  # it joins a system that runs
             await fleet.start_machine(machine, version="v2")
             machine.endpoint.fails = lambda target: target.startswith("/pay/")
         fleet.store.put("op", "rollout/vault", {"Service": "vault", "To": "v2", "Duration": f"{int(ALLOWED_S)}s"})
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -6,11 +6,13 @@
 """
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import pathlib
 import random
 import re
+import resource
 import signal
 import socket
 import struct
@@ -18,6 +20,7 @@
 import time
 import tomllib
 
+LIBC = ctypes.CDLL(None)
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -406,6 +409,13 @@
             await asyncio.sleep(HEARTBEAT_S)
 
 
+def prepare_process(most_descriptors):
+    """Runs in the new process: it ends with this one, also when this one is killed, and has the platform's limit."""
+    die_with_parent = 1  # PR_SET_PDEATHSIG
+    LIBC.prctl(die_with_parent, signal.SIGKILL)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most_descriptors, most_descriptors))
+
+
 def render(template, fields):
     """Renders the value placeholders of a settings template."""
     def value(match):
@@ -452,10 +462,11 @@
         program, *arguments = role["run"].split()
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["ENDIVELEDGE_SETTINGS"] = str(self.settings_path)
+        most = self.fields()["Limits"]["MaxFds"]
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 str(ROOT / program), *arguments, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL, cwd=ROOT,
-                env=environment)
+                env=environment, preexec_fn=lambda: prepare_process(most))
         self.bootstrap = False
         self.fleet.record.add("daemon_started", machine=self.name, pid=self.process.pid)
 
@@ -645,7 +656,7 @@
 def main(case, folder):
     """Runs `case(record_folder)`, which returns the list of violations, and exits with 0, 1 or 2."""
     try:
-        violations = asyncio.run(asyncio.wait_for(case(folder), 115))
+        violations = asyncio.run(asyncio.wait_for(case(folder), 100))
     except (CannotRun, OSError, asyncio.TimeoutError) as cause:
         print(f"could not run: {cause!r}")
         raise SystemExit(2)
