--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,6 +4,7 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"  # what was sent, answered and run
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
 from fleet import (CONFIG_APPLY_S, CONTACT_S, MAX_STRETCH_S, TROUBLE, Fleet, configuration, limits, main, route,  # noqa: E402
@@ -23,9 +24,9 @@
                              route("kept", HOST, "/kept/", "desk"), route("added", HOST, "/added/", "desk")])
 
 
-async def case(folder):
+async def case(record_path):
     machines = [(f"{name}-{zone}", zone, name) for name in ("portal", "desk") for zone in ("north", "south", "coast")]
-    async with Fleet(folder, machines) as fleet:
+    async with Fleet(record_path, machines) as fleet:
         record = fleet.record
         fleet.store.put("op", "config", version_1())
         await fleet.start()
@@ -63,4 +64,4 @@
     return violations
 
 
-main(case, FOLDER)
+main(case, RECORD)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,6 +7,7 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"  # what was sent, answered and run
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
 from fleet import CONTACT_S, TROUBLE, Fleet, configuration, limits, main, route, service  # noqa: E402
@@ -24,10 +25,10 @@
                              route("pay", HOST, "/pay/", "vault", kind="unsafe", attempts=1)])
 
 
-async def case(folder):
+async def case(record_path):
     machines = [(f"portal-{i}-{zone}", zone, "portal") for zone in ("north", "south", "coast") for i in (1, 2)]
     machines += [(f"vault-{age}-{zone}", zone, "vault") for age in ("old", "new") for zone in ("north", "south")]
-    async with Fleet(folder, machines, proxied_peers=True) as fleet:
+    async with Fleet(record_path, machines, proxied_peers=True) as fleet:
         record = fleet.record
         old = [machine for machine in fleet.machines if machine.name.startswith("vault-old")]
         new = [machine for machine in fleet.machines if machine.name.startswith("vault-new")]
@@ -100,4 +101,4 @@
             and sent[entry["request"]]["t"] > limit]
 
 
-main(case, FOLDER)
+main(case, RECORD)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,6 +4,7 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"  # what was sent, answered and run
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
 from fleet import (CONTACT_S, DRAIN_S, TROUBLE, Fleet, configuration, limits, main, route,  # noqa: E402
@@ -19,9 +20,9 @@
                              route("pay", HOST, "/pay/", "portal", kind="unsafe", attempts=1)])
 
 
-async def case(folder):
+async def case(record_path):
     machines = [(f"{name}-{zone}", zone, name) for name in ("portal", "desk") for zone in ("north", "south", "coast")]
-    async with Fleet(folder, machines) as fleet:
+    async with Fleet(record_path, machines) as fleet:
         record = fleet.record
         fleet.store.put("op", "config", version_1())
         await fleet.start()
@@ -72,4 +73,4 @@
             f"acknowledged" for entry in record.of("arrived") if entry["endpoint"] == endpoint_id and entry["t"] > since]
 
 
-main(case, FOLDER)
+main(case, RECORD)
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -547,10 +547,10 @@
 class Fleet:
     """The machines, their daemons and endpoints, and the store. Use as an async context manager."""
 
-    def __init__(self, folder, machines, proxied_peers=False):
-        """`machines`: list of (name, zone, service)."""
+    def __init__(self, record_path, machines, proxied_peers=False):
+        """`machines`: list of (name, zone, service). What is sent, answered and run is written to `record_path`."""
         self.proxied_peers = proxied_peers
-        self.record = Record(pathlib.Path(folder) / "record.txt")
+        self.record = Record(record_path)
         self.temporary = tempfile.TemporaryDirectory(prefix="endive-review-")
         self.directory = pathlib.Path(self.temporary.name)
         self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
@@ -653,10 +653,10 @@
         return task
 
 
-def main(case, folder):
-    """Runs `case(record_folder)`, which returns the list of violations, and exits with 0, 1 or 2."""
+def main(case, record_path):
+    """Runs `case(record_path)`, which returns the list of violations, and exits with 0, 1 or 2."""
     try:
-        violations = asyncio.run(asyncio.wait_for(case(folder), 100))
+        violations = asyncio.run(asyncio.wait_for(case(record_path), 100))
     except (CannotRun, OSError, asyncio.TimeoutError) as cause:
         print(f"could not run: {cause!r}")
         raise SystemExit(2)
