Notice within 1.4 s that a watch of the store has gone silent

Cause: a reader's watch was held open for 29 s, and one whose connection had gone silent, or whose request the silent store had lost, looked the same as an idle one. The reader went on reporting that its reads succeed, so no standby read. The time limit ran by a timer of its own, beyond the reach of tests.

Change: the store holds a watch for 0.7 s; one without an answer 0.7 s later is lost, is reported and sent again on a new connection, with a short wait until the store has answered once. Time limits count to the first byte and between bytes and follow the daemon's clock. The connection for single calls is replaced after a second without calls. The restart of a watch that is behind a peer (store_watch_restarted) is superseded and removed.

Tests: 'a change is in force soon although the connection of the watch has gone silent' fails with the former wait and slack (the watch is not sent again, the change not in force). Changed, as strict: two tests of rows counted store_watch_restarted and now count store_lost, the replaced watch and its new connection; the stand-in ends watches at their wait, as the store does; the test of joining daemons counts reads of the whole table (3 at most, as many as there are readers) instead of 8 calls, since readers now call each 0.7 s; the endless answer is ended by the test's clock instead of a timer.

--- a/src/sidecar/events.cpp
+++ b/src/sidecar/events.cpp
@@ -17,7 +17,6 @@
     event_entry{settings_rejected, "settings_rejected", warning, lifecycle},
     event_entry{store_lost, "store_lost", warning, lifecycle},
     event_entry{store_regained, "store_regained", info, lifecycle},
-    event_entry{store_watch_restarted, "store_watch_restarted", info, lifecycle},
     event_entry{store_history_gone, "store_history_gone", info, lifecycle},
     event_entry{store_answer_malformed, "store_answer_malformed", warning, lifecycle},
     event_entry{store_write_failed, "store_write_failed", info, lifecycle},
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -15,7 +15,6 @@
     settings_rejected,
     store_lost,
     store_regained,
-    store_watch_restarted,
     store_history_gone,
     store_answer_malformed,
     store_write_failed,
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -261,9 +261,6 @@
 }
 
 void sidecar::on_peer_row(const mesh::store_row& row, const mesh::row_delta* via) {
-    if (row.table == platform_wire::operator_table) {
-        operator_rows_.on_peer_row(row.version);
-    }
     on_row(row, via);
 }
 
@@ -546,7 +543,8 @@
 void sidecar::slow_tick(time_point now) {
     link_meter_.record(*received_bytes_, now);
     local_.set_link_use(link_meter_.use());
-    operator_rows_.tick();
+    operator_rows_.tick(now);
+    store_.tick(now);
     if (now >= next_reader_selection_) {
         next_reader_selection_ = now + reader_selection_interval;
         select_readers(now);
--- a/src/sidecar/store_client.cpp
+++ b/src/sidecar/store_client.cpp
@@ -8,21 +8,29 @@
 namespace {
 
 constexpr duration connect_timeout = milliseconds{1000};
-/// Maximum time that the store holds one watch open. Each return is a billed call, so the wait is long; peers
-/// report changes that a stale connection would miss in the meantime.
-constexpr milliseconds watch_wait{29000};
-/// A watch whose answer is overdue by more than this has lost its connection.
-constexpr duration watch_slack = milliseconds{1500};
-/// The store normally answers reads in 4 ms, and up to a hundred times slower when it is degraded.
-constexpr duration read_timeout = milliseconds{3000};
+/// Time that the store holds a watch open without changes. The answer that comes then shows that the
+/// connection works; each one is a billed call.
+constexpr milliseconds watch_wait{700};
+/// The same after a failed call, to learn soon that the store is available.
+constexpr milliseconds probe_wait{20};
+/// Time from the end of the wait to the first byte of the answer. The store normally answers in 4 ms, and up
+/// to a hundred times slower when it is degraded.
+constexpr duration watch_slack = milliseconds{700};
+/// A watch whose answer has begun is not sent again while bytes arrive: a row of 1 MB takes seconds on a
+/// loaded link.
+constexpr duration watch_stall_timeout = milliseconds{2000};
+constexpr duration watch_total_timeout = std::chrono::seconds{30};
+constexpr call_timeouts read_timeouts{milliseconds{1500}, milliseconds{1500}, milliseconds{3000}};
+/// A connection without calls for longer is replaced before the next one.
+constexpr duration max_idle_time = milliseconds{1000};
+/// After a longer time without a tick, such as a pause of the process, bytes that arrived meanwhile are read
+/// before a call is ended.
+constexpr duration max_tick_gap = milliseconds{500};
 /// Delay of the next watch after a change. Changes in quick succession are received with one call, and each
 /// is active well within the limit of two seconds.
 constexpr duration pause_after_change = milliseconds{400};
 /// Time in which the first bytes of an answer that the store already has arrive, or its next bytes.
 constexpr duration answer_timeout = milliseconds{300};
-/// A watch without received bytes for this long, although a peer holds a newer row, is stale. Replacing it
-/// sooner would make the store send an answer again that waits in a slow link's queue.
-constexpr duration stale_watch_timeout = milliseconds{2000};
 constexpr duration min_retry_delay = milliseconds{150};
 /// The end of an outage is not announced, and entries must be restored within two seconds after it.
 constexpr duration max_retry_delay = milliseconds{700};
@@ -44,13 +52,27 @@
 
 store_connection::store_connection(boost::asio::io_context& loop, const clock_source& clock,
                                    std::string_view address)
-    : loop_{loop}, clock_{clock}, host_{address}, address_{to_endpoint(address)}, timer_{loop} {}
+    : loop_{loop}, clock_{clock}, host_{address}, address_{to_endpoint(address)} {}
 
-void store_connection::call(platform_wire::store_call call, duration timeout, store_callback done) {
-    queue_.push_back({std::move(call), timeout, std::move(done)});
+void store_connection::call(platform_wire::store_call call, const call_timeouts& timeouts,
+                            store_callback done) {
+    queue_.push_back({std::move(call), timeouts, std::move(done)});
     next();
 }
 
+void store_connection::tick(time_point now) {
+    const bool was_paused = now - std::exchange(last_tick_, now) > max_tick_gap;
+    if (!current_ || was_paused) {
+        return;
+    }
+    const auto& timeouts = current_->timeouts;
+    const auto silent_for = now - last_progress_;
+    if (silent_for >= (received_bytes_ == 0 ? timeouts.first_byte : timeouts.stall) ||
+        now - started_ >= timeouts.total) {
+        finish({}, false);
+    }
+}
+
 void store_connection::next() {
     if (current_ || queue_.empty()) {
         return;
@@ -61,12 +83,10 @@
     started_ = clock_.now();
     last_progress_ = started_;
     received_bytes_ = 0;
-    timer_.expires_after(current_->timeout);
-    timer_.async_wait([this, generation](error_code code) {
-        if (!code && current_ && generation == generation_) {
-            finish({}, false);
-        }
-    });
+    if (connection_ && started_ - idle_since_ > max_idle_time) {
+        connection_->close();
+        connection_.reset();
+    }
     if (connection_ && connection_->is_open()) {
         send_current();
         return;
@@ -137,9 +157,9 @@
 }
 
 void store_connection::finish(store_answer answer, bool reusable) {
-    timer_.cancel();
     reader_.reset();
-    answer.waited = clock_.now() - started_;
+    idle_since_ = clock_.now();
+    answer.waited = idle_since_ - started_;
     answer.received_bytes = received_bytes_;
     auto done = std::move(current_->done);
     current_.reset();
@@ -183,9 +203,6 @@
         return;
     }
     pausing_ = false;
-    watching_ = false;
-    restarting_ = false;
-    overdue_since_.reset();
     first_page_version_.reset();
     pause_timer_.cancel();
     connection_.drop();
@@ -232,7 +249,7 @@
 
 void table_follower::read(const std::string& from) {
     counters_.add("store_reads");
-    connection_.call(platform_wire::read_rows(table_, from), read_timeout,
+    connection_.call(platform_wire::read_rows(table_, from), read_timeouts,
                      [this, from](const store_answer& answer) {
                          if (!active_) {
                              return;
@@ -267,42 +284,15 @@
     return pausing_ || clock_.now() - connection_.last_progress() < answer_timeout;
 }
 
-void table_follower::on_peer_row(std::uint64_t version) {
-    if (active_ && version > version_ && !overdue_since_) {
-        overdue_since_ = clock_.now();
-    }
-}
-
-void table_follower::tick() {
-    if (!overdue_since_ || !watching_) {
-        return;
-    }
-    const auto silent = clock_.now() - std::max(*overdue_since_, connection_.last_progress());
-    if (silent < stale_watch_timeout) {
-        return;
-    }
-    log(event::store_watch_restarted,
-        {{"table", table_},
-         {"waited_ms", std::chrono::duration_cast<milliseconds>(silent).count()},
-         {"received_bytes", connection_.received_bytes()}});
-    restarting_ = true;
-    connection_.drop();
-}
-
 void table_follower::watch() {
-    watching_ = true;
     counters_.add("store_watches");
-    connection_.call(platform_wire::watch_rows(table_, version_, watch_wait), watch_wait + watch_slack,
+    const auto wait = healthy_ == false ? probe_wait : watch_wait;
+    connection_.call(platform_wire::watch_rows(table_, version_, wait),
+                     call_timeouts{wait + watch_slack, watch_stall_timeout, watch_total_timeout},
                      [this](const store_answer& answer) {
                          if (!active_) {
                              return;
                          }
-                         watching_ = false;
-                         overdue_since_.reset();
-                         if (std::exchange(restarting_, false)) {
-                             watch();
-                             return;
-                         }
                          if (answer.status == status_gone) {
                              log(event::store_history_gone, {{"table", table_}, {"after", version_}});
                              read({});
--- a/src/sidecar/store_client.h
+++ b/src/sidecar/store_client.h
@@ -21,11 +21,25 @@
 /// Logs an answer of the store that could not be handled.
 void log_malformed_answer(std::string_view table, const std::exception& cause);
 
-/// One connection to the store; calls are queued and sent one at a time. Not thread safe.
+/// Times after which a call counts as unanswered.
+struct call_timeouts {
+    duration first_byte{0}; ///< until the first byte of the answer
+    duration stall{0};      ///< between bytes of the answer
+    duration total{0};
+    friend auto operator<=>(const call_timeouts&, const call_timeouts&) = default;
+};
+
+/// One connection to the store; calls are queued and sent one at a time. A connection that was idle for long
+/// is not used again, since it may have gone silent. Not thread safe.
 class store_connection {
 public:
     store_connection(boost::asio::io_context& loop, const clock_source& clock, std::string_view address);
-    void call(platform_wire::store_call call, duration timeout, store_callback done);
+    void call(platform_wire::store_call call, const call_timeouts& timeouts, store_callback done);
+    void call(platform_wire::store_call call, duration timeout, store_callback done) {
+        this->call(std::move(call), call_timeouts{timeout, timeout, timeout}, std::move(done));
+    }
+    /// Ends the current call when it is overdue; its callback gets status 0. Call about every 100 ms.
+    void tick(time_point now);
     /// Aborts the current call; its callback gets status 0.
     void drop();
     /// Start of the current call, or the time of the last byte of its response.
@@ -36,7 +50,7 @@
 private:
     struct pending_call {
         platform_wire::store_call call;
-        duration timeout;
+        call_timeouts timeouts;
         store_callback done;
     };
     void next();
@@ -48,8 +62,9 @@
     const clock_source& clock_;
     std::string host_;
     tcp::endpoint address_;
-    boost::asio::steady_timer timer_;
     std::shared_ptr<stream> connection_;
+    time_point idle_since_{}; ///< end of the last call
+    time_point last_tick_{};
     std::string input_;
     std::unique_ptr<response_reader> reader_;
     std::optional<pending_call> current_;
@@ -60,7 +75,9 @@
     std::uint64_t generation_ = 0; ///< identifies the current call, so that late events are ignored
 };
 
-/// Follows one table of the store: reads all rows, then watches for changes. Not thread safe.
+/// Follows one table of the store: reads all rows, then watches for changes. The store answers each watch
+/// after a short time, with or without changes: an unanswered one shows that the store or the connection is
+/// lost. Not thread safe.
 class table_follower {
 public:
     /// `on_rows` receives the initial rows and later changes; `on_health` is called each time the store
@@ -78,11 +95,8 @@
     [[nodiscard]] bool is_healthy() const { return active_ && healthy_ == true; }
     /// True while the next read or watch is delayed, its answer is arriving or may be on the way.
     [[nodiscard]] bool is_delivering() const;
-    /// A peer holds a row of the table with this version. If the watch then stays silent, its connection is
-    /// stale and is replaced.
-    void on_peer_row(std::uint64_t version);
-    /// Replaces a stale watch. Call about every 100 ms.
-    void tick();
+    /// Ends an overdue call, so that the next one uses a new connection. Call about every 100 ms.
+    void tick(time_point now) { connection_.tick(now); }
 
 private:
     void read(const std::string& from);
@@ -101,10 +115,7 @@
     std::function<void(bool)> on_health_;
     std::uint64_t version_ = 0;
     bool active_ = false;
-    std::uint64_t starts_ = 0;                ///< tells a timer of an earlier start from the current one
-    bool watching_ = false;                   ///< a watch is open
-    bool restarting_ = false;                 ///< the open watch is being replaced
-    std::optional<time_point> overdue_since_; ///< a peer holds a row that the watch has not delivered
+    std::uint64_t starts_ = 0; ///< tells a timer of an earlier start from the current one
     std::optional<std::uint64_t> first_page_version_;
     duration retry_delay_{0};
     bool pausing_ = false;
