Let only a daemon in contact with the majority raise a share or complete a rollout

Cause: the evaluators of a rollout, the duty to write its status and the endpoints whose work must have ended are all chosen by the links that a daemon has. Cut off from the others, but not from the store, a daemon is the whole fleet to itself: its own endpoint's responses moved all traffic and it wrote 'completed', which the platform obeys.

Change: mesh::majority_contact. A daemon raises a share or completes only after a second of contact with more than half of the daemons that it knows and that do not stop; evaluators ping idle links twice a second. Only evaluators complete. Without contact the version keeps its first share, and only verdicts are published. The smaller side of a partition forgets the others, and removes their rows, after 15 minutes instead of one. Two sides cannot both have the majority.

The calls of advance in existing tests got an argument, their checks are the same.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -731,6 +731,28 @@
     friend auto operator<=>(const rollout_progress&, const rollout_progress&) = default;
 };
 
+/// The other daemons that are known and do not stop, and how many of them this daemon reaches.
+struct reachability {
+    std::size_t known = 0;
+    std::size_t reachable = 0;
+    friend auto operator<=>(const reachability&, const reachability&) = default;
+};
+/// True when this daemon and those that it reaches are more than half of the fleet. During a partition that
+/// holds on one side at most.
+[[nodiscard]] bool is_majority(const reachability& others);
+
+/// Tells whether this daemon may decide for the whole fleet: it has been in contact with the majority for
+/// long enough to have received what the others know. Not thread safe.
+class majority_contact {
+public:
+    /// Call a few times per second.
+    void update(const reachability& others, time_point now);
+    [[nodiscard]] bool may_decide(time_point now) const;
+
+private:
+    std::optional<time_point> since_;
+};
+
 /// The rollout of one version of a service. A few daemons evaluate it and receive the evidence of all; the
 /// others apply the progress published by the first of the evaluating daemons. A verdict against the version
 /// is final whichever daemon gave it, so that containment needs no owner. The first daemon to finish writes
@@ -745,8 +767,10 @@
     void on_evidence(const std::string& daemon, std::int64_t daemon_start,
                      std::span<const version_evidence> counters);
     void on_status(const rollout_status& status);
-    /// Re-evaluates evidence and schedule. Only for evaluating daemons.
-    void advance(time_point now);
+    /// Re-evaluates evidence and schedule. Only for evaluating daemons. Without `may_decide` the version gets
+    /// no more than the traffic share of one without evidence: the evidence that this daemon has may cover a
+    /// small part of the fleet.
+    void advance(time_point now, bool may_decide);
     /// Applies the progress that another, evaluating daemon published.
     void apply_progress(double share, bool bad, time_point now);
     /// Share of the service's requests that go to the new version, from 0 to 1.
@@ -780,7 +804,8 @@
     [[nodiscard]] evidence_summary summarize() const;
     [[nodiscard]] bool may_take_all(duration delay, double share, const evidence_summary& evidence,
                                     time_point now) const;
-    [[nodiscard]] double next_share(time_point now) const;
+    [[nodiscard]] double next_share(const evidence_summary& evidence, time_point now) const;
+    [[nodiscard]] double first_share(const evidence_summary& evidence, time_point now) const;
     [[nodiscard]] double rate_of(const evidence_summary& evidence, time_point now) const;
     using route_totals = std::map<std::string, std::array<totals, 2>, std::less<>>;
     [[nodiscard]] route_totals collect() const;
--- a/src/mesh/rollout.cpp
+++ b/src/mesh/rollout.cpp
@@ -256,21 +256,23 @@
                            last_slack_part * settings_.exposure_slack / rate;
 }
 
-double rollout::next_share(time_point now) const {
+double rollout::first_share(const evidence_summary& evidence, time_point now) const {
+    const double requests = rate_of(evidence, now) * seconds_of(order_.time_allowed);
+    return std::min(settings_.exposure_share,
+                    initial_share() + first_slack_part * settings_.exposure_slack / requests);
+}
+
+double rollout::next_share(const evidence_summary& evidence, time_point now) const {
     if (traffic_share_ >= 1.0) {
         return traffic_share_;
     }
-    const auto evidence = summarize();
     if (may_take_all(duration{0}, 0, evidence, now)) {
         return 1.0;
     }
     const bool trial =
         may_take_all(trial_time, trial_share, evidence, now) ||
         (traffic_share_ >= trial_share && may_take_all(trial_time / 2, trial_share, evidence, now));
-    const double requests = rate_of(evidence, now) * seconds_of(order_.time_allowed);
-    const double first_share = std::min(
-        settings_.exposure_share, initial_share() + first_slack_part * settings_.exposure_slack / requests);
-    return trial ? trial_share : first_share;
+    return trial ? trial_share : first_share(evidence, now);
 }
 
 /// Responses per second of both versions.
@@ -288,7 +290,7 @@
     return {count(overall->second[0]) + count(overall->second[1]), count(overall->second[1])};
 }
 
-void rollout::advance(time_point now) {
+void rollout::advance(time_point now, bool may_decide) {
     if (final_) {
         return;
     }
@@ -299,7 +301,8 @@
         set_traffic_share(0, now);
         return;
     }
-    set_traffic_share(next_share(now), now);
+    const auto evidence = summarize();
+    set_traffic_share(may_decide ? next_share(evidence, now) : first_share(evidence, now), now);
 }
 
 void rollout::set_traffic_share(double share, time_point now) {
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -30,6 +30,8 @@
 constexpr std::size_t message_memory_divisor = 8;
 /// A daemon that has been unreachable for this long counts as permanently gone.
 constexpr duration expiry_timeout = std::chrono::seconds{60};
+/// The same at a daemon that does not reach the majority. Partitions last for minutes.
+constexpr duration minority_expiry_timeout = std::chrono::minutes{15};
 
 } // namespace
 
@@ -501,15 +503,36 @@
         peers_.begin(), peers_.end(), [](const auto& item) { return item.second.link != nullptr; }));
 }
 
+void peer_set::verify_links(time_point now) {
+    for (const auto& [name, entry] : peers_) {
+        if (entry.link) {
+            entry.link->verify(now);
+        }
+    }
+}
+
+mesh::reachability peer_set::heard_since(time_point since) const {
+    mesh::reachability result;
+    for (const auto& [name, entry] : peers_) {
+        if (!entry.about.stopping) {
+            ++result.known;
+            result.reachable += entry.link && entry.link->last_received() >= since ? 1 : 0;
+        }
+    }
+    return result;
+}
+
 bool peer_set::has_undelivered_replies() const {
     return std::any_of(links_.begin(), links_.end(),
                        [](const auto& link) { return link->has_undelivered_reply(); });
 }
 
 std::vector<mesh::member> peer_set::expired_members(time_point now) const {
+    const bool in_majority = mesh::is_majority(heard_since({}));
+    const auto timeout = in_majority ? expiry_timeout : minority_expiry_timeout;
     std::vector<mesh::member> result;
     for (const auto& [name, entry] : peers_) {
-        if (entry.unreachable_since && now - *entry.unreachable_since > expiry_timeout) {
+        if (entry.unreachable_since && now - *entry.unreachable_since > timeout) {
             result.push_back(entry.about);
         }
     }
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -73,13 +73,18 @@
     /// Connects to peers without a link, checks the links and requests missing rows. Call about every 100 ms.
     void tick(time_point now);
     [[nodiscard]] std::size_t link_count() const;
+    /// Checks the links on which nothing was received lately.
+    void verify_links(time_point now);
+    /// The peers that do not stop; reachable are those with a link on which something was received since.
+    [[nodiscard]] mesh::reachability heard_since(time_point since) const;
     /// Adds the bytes received on links that are opened from now on to `total`.
     void count_received(std::shared_ptr<std::uint64_t> total) { received_total_ = std::move(total); }
     /// Open connections to peers, including retired and redundant ones.
     [[nodiscard]] std::size_t connection_count() const { return links_.size(); }
     /// True while a link has a reply that the other daemon has not acknowledged.
     [[nodiscard]] bool has_undelivered_replies() const;
-    /// Daemons that have been unreachable for so long that their rows may be removed.
+    /// Daemons that have been unreachable for so long that their rows may be removed. On the smaller side of
+    /// a partition the others are not taken for gone before a long time has passed.
     [[nodiscard]] std::vector<mesh::member> expired_members(time_point now) const;
     void remove_member(const std::string& daemon) { peers_.erase(daemon); }
 
--- a/src/sidecar/rollouts.cpp
+++ b/src/sidecar/rollouts.cpp
@@ -140,7 +140,8 @@
 std::vector<mesh::rollout_progress> rollouts::progress() const {
     std::vector<mesh::rollout_progress> result;
     for (const auto& [service, item] : services_) {
-        if (item.rollout && item.evaluated_here && !item.rollout->final_state()) {
+        const bool has_news = item.rollout && (may_decide_ || item.rollout->is_bad());
+        if (has_news && item.evaluated_here && !item.rollout->final_state()) {
             result.push_back(
                 {service, item.order_version, item.rollout->traffic_share(), item.rollout->is_bad()});
         }
@@ -162,12 +163,20 @@
     return !resumed_ || now - *resumed_ >= resume_delay;
 }
 
-void rollouts::advance(time_point now, const std::string& self,
+bool rollouts::is_evaluating() const {
+    return std::any_of(services_.begin(), services_.end(), [](const auto& service) {
+        const auto& item = service.second;
+        return item.evaluated_here && item.rollout && !item.rollout->final_state();
+    });
+}
+
+void rollouts::advance(time_point now, const std::string& self, bool may_decide,
                        const std::function<std::vector<std::string>(const std::string&)>& evaluators) {
     if (now - last_advance_ > pause_threshold) {
         resumed_ = now;
     }
     last_advance_ = now;
+    may_decide_ = may_decide;
     for (auto& [service, item] : services_) {
         if (!item.rollout || item.rollout->final_state()) {
             continue;
@@ -178,9 +187,9 @@
         item.evaluated_here = may_evaluate(now) && std::find(order.begin(), order.end(), self) != order.end();
         // Only the first evaluating daemon sets the traffic share; the others evaluate and apply its share.
         if (item.evaluated_here) {
-            item.rollout->advance(now);
+            item.rollout->advance(now, may_decide);
         }
-        if (item.evaluated_here && order.front() == self) {
+        if (item.evaluated_here && may_decide && order.front() == self) {
             item.share_confirmed = now;
         } else {
             follow(item, order, now);
@@ -252,7 +261,8 @@
         const bool status_is_current = item.status && item.status_version > item.order_version;
         if (item.rollout->is_bad()) {
             result.push_back({{service, order.to, mesh::rollout_state::rolled_back}, item.status_version});
-        } else if (may_evaluate(now) && item.rollout->may_complete(now) && old_idle(service, order.to)) {
+        } else if (may_decide_ && may_evaluate(now) && item.evaluated_here &&
+                   item.rollout->may_complete(now) && old_idle(service, order.to)) {
             result.push_back({{service, order.to, mesh::rollout_state::completed}, item.status_version});
         } else if (!status_is_current) {
             result.push_back({{service, order.to, mesh::rollout_state::running}, item.status_version});
--- a/src/sidecar/rollouts.h
+++ b/src/sidecar/rollouts.h
@@ -37,12 +37,15 @@
     void on_evidence(const std::string& daemon, std::int64_t start,
                      std::span<const mesh::version_evidence> counters);
     /// `evaluators(service)` lists the daemons that evaluate the rollouts of a service in order of
-    /// precedence; `self` is this daemon's name.
-    void advance(time_point now, const std::string& self,
+    /// precedence; `self` is this daemon's name. Without `may_decide` this daemon raises no traffic share
+    /// and completes no rollout (see `mesh::majority_contact`).
+    void advance(time_point now, const std::string& self, bool may_decide,
                  const std::function<std::vector<std::string>(const std::string&)>& evaluators);
+    /// True while this daemon is one of those that evaluate an unfinished rollout.
+    [[nodiscard]] bool is_evaluating() const;
     /// Handles progress published by the evaluating daemon `daemon`.
     void on_progress(const std::string& daemon, const mesh::rollout_progress& progress, time_point now);
-    /// Progress of the rollouts that this daemon evaluates.
+    /// Progress of the rollouts that this daemon evaluates; verdicts only while it may not decide.
     [[nodiscard]] std::vector<mesh::rollout_progress> progress() const;
     /// Services with an unfinished rollout.
     [[nodiscard]] std::vector<std::string> running() const;
@@ -53,8 +56,9 @@
     /// back.
     [[nodiscard]] bool is_retired(const std::string& service, const std::string& version,
                                   time_point now) const;
-    /// Statuses that are due and not written yet. `old_idle(service, version)` returns true when no endpoint
-    /// of another version has outstanding requests.
+    /// Statuses that are due and not written yet. Only evaluating daemons complete a rollout.
+    /// `old_idle(service, version)` returns true when no endpoint of another version has outstanding
+    /// requests.
     [[nodiscard]] std::vector<status_write>
     due_statuses(time_point now,
                  const std::function<bool(const std::string&, const std::string&)>& old_idle) const;
@@ -91,6 +95,7 @@
     std::string daemon_;
     std::map<std::string, entry> services_;
     time_point last_advance_{};
+    bool may_decide_ = false;           ///< at the last advance
     std::optional<time_point> resumed_; ///< end of the last pause of this daemon during a rollout
     struct latest {
         std::int64_t start = 0;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -41,6 +41,7 @@
     [[nodiscard]] std::vector<mesh::store_row> row_heads() const;
     [[nodiscard]] std::vector<std::string> evaluators_of(const std::string& service) const;
     void advance_rollouts(time_point now);
+    void update_contact(time_point now);
     void send_evidence(const std::string& service);
     void report_malformed(const mesh::store_row& row, std::string_view place, std::string_view reason);
     void on_peer_row(const mesh::store_row& row, const mesh::row_delta* via);
@@ -106,6 +107,8 @@
     std::optional<time_point> idle_since_; ///< while stopping
     std::vector<mesh::rollout_progress> published_progress_;
     time_point next_evidence_{};
+    mesh::majority_contact contact_;
+    time_point next_link_check_{};
     std::uint64_t reported_failures_ = 0;
     time_point next_summary_{};
     std::map<std::string, std::uint64_t> summarized_;
--- a/src/sidecar/sidecar_moves.cpp
+++ b/src/sidecar/sidecar_moves.cpp
@@ -12,6 +12,10 @@
 constexpr std::size_t evaluators_per_rollout = 3;
 constexpr duration evidence_interval = milliseconds{250};
 constexpr duration progress_interval = milliseconds{500};
+/// Interval at which an evaluating daemon checks its links, most of which are idle.
+constexpr duration link_check_interval = milliseconds{500};
+/// An evaluating daemon that has heard nothing from another one for this long does not reach it.
+constexpr duration contact_timeout = milliseconds{1500};
 /// Interval of row comparisons while rows change. It limits how far a daemon without access to the store
 /// falls behind.
 constexpr duration comparison_interval = milliseconds{400};
@@ -48,15 +52,26 @@
                    item.second.load.outstanding > 0;
         });
     };
-    std::vector<std::pair<std::string, std::function<void()>>> duties;
+    struct due_write {
+        std::string duty;
+        std::size_t rank = 0; ///< of this daemon; the first writes at once
+        std::function<void()> perform;
+    };
+    std::vector<due_write> duties;
     for (const auto& due : rollouts_.due_statuses(now, old_idle)) {
         const auto key = std::string{platform_wire::rollout_prefix} + due.status.service;
         const auto duty = key + "/" + std::to_string(static_cast<int>(due.status.state));
         const mesh::store_row row{std::string{platform_wire::status_table}, key,
                                   platform_wire::encode_rollout_status(due.status), 0};
-        duties.emplace_back(duty, [this, duty, row, expected = due.expected_version] {
-            write(row, expected, [this, duty](bool) { writing_.erase(duty); });
-        });
+        std::size_t rank = duty_rank(duty);
+        if (due.status.state == mesh::rollout_state::completed) {
+            const auto evaluators = evaluators_of(due.status.service);
+            const auto own = std::find(evaluators.begin(), evaluators.end(), self_.daemon);
+            rank = static_cast<std::size_t>(own - evaluators.begin());
+        }
+        duties.push_back({duty, rank, [this, duty, row, expected = due.expected_version] {
+                              write(row, expected, [this, duty](bool) { writing_.erase(duty); });
+                          }});
     }
     for (const auto& move : rollouts_.unrecorded_starts()) {
         const auto key = std::string{start_prefix} + move.service;
@@ -68,15 +83,16 @@
         start.store_time = std::chrono::duration_cast<milliseconds>(*started);
         const mesh::store_row row{std::string{own_table}, key, mesh::encode(start), 0};
         const auto* known = rows_.find(own_table, key);
-        duties.emplace_back(key, [this, key, row, expected = known == nullptr ? 0 : known->version] {
-            write(row, expected, [this, key](bool) { writing_.erase(key); });
-        });
+        duties.push_back(
+            {key, duty_rank(key), [this, key, row, expected = known == nullptr ? 0 : known->version] {
+                 write(row, expected, [this, key](bool) { writing_.erase(key); });
+             }});
     }
     std::set<std::string> present;
-    for (const auto& [duty, perform] : duties) {
+    for (const auto& [duty, rank, perform] : duties) {
         present.insert(duty);
         const auto since = duty_since_.try_emplace(duty, now).first->second;
-        const auto turn = since + duty_step * static_cast<duration::rep>(duty_rank(duty));
+        const auto turn = since + duty_step * static_cast<duration::rep>(rank);
         if (now >= turn && writing_.insert(duty).second) {
             duty_since_[duty] = now + store_retry_delay;
             perform();
@@ -90,6 +106,7 @@
 void sidecar::advance_rollouts(time_point now) {
     const auto running = rollouts_.running();
     if (running.empty()) {
+        contact_ = {};
         return;
     }
     std::uint64_t failures = 0;
@@ -105,7 +122,8 @@
             }
         }
     }
-    rollouts_.advance(now, self_.daemon,
+    update_contact(now);
+    rollouts_.advance(now, self_.daemon, contact_.may_decide(now),
                       [this](const std::string& service) { return evaluators_of(service); });
     const auto progress = rollouts_.progress();
     if (!progress.empty() && (progress != published_progress_ || now >= next_progress_)) {
@@ -115,6 +133,16 @@
     }
 }
 
+/// Finds out whether this daemon reaches most of the fleet. Only evaluating daemons check idle links; the
+/// result is of no use to the others.
+void sidecar::update_contact(time_point now) {
+    if (rollouts_.is_evaluating() && now >= next_link_check_) {
+        next_link_check_ = now + link_check_interval;
+        peers_.verify_links(now);
+    }
+    contact_.update(peers_.heard_since(now - contact_timeout), now);
+}
+
 void sidecar::send_evidence(const std::string& service) {
     for (const auto& evaluator : evaluators_of(service)) {
         if (evaluator == self_.daemon) {
--- a/tests/sidecar/rollout_fleet_test.cpp
+++ b/tests/sidecar/rollout_fleet_test.cpp
@@ -156,7 +156,7 @@
                       });
             }
         }
-        daemon.moves->advance(now_, daemon.name, evaluators);
+        daemon.moves->advance(now_, daemon.name, true, evaluators);
         const auto progress = daemon.moves->progress();
         if (!progress.empty() && (progress != daemon.published || now_ >= daemon.next_progress)) {
             daemon.published = progress;
