Acknowledge the departure of an endpoint once it is stored

Cause: the daemon answered a report of a departure when it was in its memory. Killed before the member row was written, it started without it and took a late heartbeat for the first one of a live endpoint. Its peers still knew, but gave a daemon its earlier record only when its clock had been set back, and forgot it at its next start.

Change: the answer waits for the member row, 0.9 s at most, then 503; no new work goes there in either case. Peers keep the last departure of each daemon and remind it after a restart. A departure of an endpoint that is unknown, or known by its health check only, is stored too, with the latest start that it binds.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -135,7 +135,8 @@
     bool on_heartbeat(const heartbeat& beat, time_point now);
     /// The endpoint has deregistered or is about to. False when `endpoint_id` is not the current endpoint.
     /// If its start is not known, such as after a restart of this daemon, the departure binds all starts up
-    /// to `not_after_unix_ms`: delayed heartbeats may still arrive.
+    /// to `not_after_unix_ms`: delayed heartbeats may still arrive. It becomes the current endpoint if there
+    /// is none, so that others learn of its departure.
     bool on_deregister(std::string_view endpoint_id, std::int64_t not_after_unix_ms);
     /// A health check identified the endpoint. Takes effect only while the endpoint is absent, such as before
     /// its first heartbeat.
@@ -153,6 +154,8 @@
     /// The last accepted heartbeat, with the endpoint's effective state.
     [[nodiscard]] const heartbeat& current() const { return current_; }
     [[nodiscard]] bool is_ready() const { return current_.state == endpoint_state::ready; }
+    /// Start of the current endpoint; once it has left, the latest start that its departure binds.
+    [[nodiscard]] std::int64_t start_unix_ms() const;
     /// Increases with each change that has to be published to other daemons.
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
--- a/src/mesh/membership.cpp
+++ b/src/mesh/membership.cpp
@@ -100,12 +100,20 @@
     const bool start_known = current && current_.start_unix_ms != 0;
     auto& departed = departed_[std::string{endpoint_id}];
     departed = std::max(departed, start_known ? current_.start_unix_ms : not_after_unix_ms);
-    if (current) {
+    if (current || current_.endpoint_id.empty()) {
+        current_.endpoint_id = std::string{endpoint_id};
+        ++revision_; // the departure may bind later starts than before
         set_state(endpoint_state::draining);
     }
     return current;
 }
 
+std::int64_t endpoint_tracker::start_unix_ms() const {
+    const auto departed = departed_.find(current_.endpoint_id);
+    const bool has_left = current_.state == endpoint_state::draining && departed != departed_.end();
+    return has_left ? std::max(current_.start_unix_ms, departed->second) : current_.start_unix_ms;
+}
+
 void endpoint_tracker::on_health(std::string_view endpoint_id, bool healthy, std::uint32_t slots) {
     if (endpoint_id.empty() || current_.state != endpoint_state::absent) {
         return;
--- a/src/sidecar/events.cpp
+++ b/src/sidecar/events.cpp
@@ -34,6 +34,7 @@
     event_entry{endpoint_unreachable, "endpoint_unreachable", warning, lifecycle},
     event_entry{endpoint_silent, "endpoint_silent", warning, lifecycle},
     event_entry{endpoint_deregistered, "endpoint_deregistered", info, lifecycle},
+    event_entry{departure_unacknowledged, "departure_unacknowledged", warning, lifecycle},
     event_entry{heartbeat_refused, "heartbeat_refused", info, refusal},
     event_entry{heartbeat_malformed, "heartbeat_malformed", warning, refusal},
     event_entry{configuration_in_force, "configuration_in_force", info, lifecycle},
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -32,6 +32,7 @@
     endpoint_unreachable,
     endpoint_silent,
     endpoint_deregistered,
+    departure_unacknowledged,
     heartbeat_refused,
     heartbeat_malformed,
     configuration_in_force,
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -80,6 +80,10 @@
     }
     const auto [found, is_new] = peers_.try_emplace(about.daemon);
     auto& entry = found->second;
+    const bool leaves = about.state == mesh::endpoint_state::draining && !about.endpoint_id.empty();
+    if (leaves && (!entry.departure || mesh::supersedes(about, *entry.departure))) {
+        entry.departure = about;
+    }
     if (!is_new && !mesh::supersedes(about, entry.about)) {
         return;
     }
@@ -240,9 +244,24 @@
         correction.members.push_back(known->about);
         link.send(correction);
     }
+    if (is_new) {
+        remind_of_departure(link, *own);
+    }
     return is_new;
 }
 
+/// Tells a daemon that has restarted of the departure that it knew of before.
+void peer_set::remind_of_departure(peer_link& link, const mesh::member& own) {
+    const auto* known = find(own.daemon);
+    if (known == nullptr || !known->departure ||
+        known->departure->daemon_start_unix_ms >= own.daemon_start_unix_ms) {
+        return;
+    }
+    announce_message reminder;
+    reminder.members.push_back(*known->departure);
+    link.send(reminder);
+}
+
 void peer_set::on_announce(const std::shared_ptr<peer_link>& link, announce_message message) {
     const bool is_new = link->daemon().empty();
     if (is_new) {
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -10,6 +10,9 @@
 /// A peer daemon as known to this daemon.
 struct peer {
     mesh::member about;
+    /// The last record in which its endpoint was leaving. A daemon that restarts while the store is away
+    /// learns of it from its peers.
+    std::optional<mesh::member> departure;
     std::shared_ptr<peer_link> link; ///< null while not connected
     mesh::endpoint_load load;
     time_point load_time{};
@@ -102,6 +105,7 @@
     [[nodiscard]] bool dials_first(const peer& entry) const;
     [[nodiscard]] bool awaits_greeting(const peer& entry, time_point now) const;
     void send_hello(peer_link& link);
+    void remind_of_departure(peer_link& link, const mesh::member& own);
     bool identify(peer_link& link, const std::vector<mesh::member>& members);
     void close_links_before(const peer_link& link);
     void replace_link(const std::shared_ptr<peer_link>& link);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -173,7 +173,7 @@
                                            {"born", beat.start_unix_ms},
                                            {"current", local_.tracker().current().endpoint_id}});
         }
-        request->respond(json_response(status_ok, json::object()));
+        answer_report(request, endpoint_id);
     } catch (const error& cause) {
         counters_.add("heartbeat_malformed");
         log(event::heartbeat_malformed,
@@ -190,7 +190,19 @@
     local_.update(
         [&](mesh::endpoint_tracker& tracker) { known = tracker.on_deregister(endpoint_id, not_after); });
     log(event::endpoint_deregistered, {{"endpoint", endpoint_id}, {"current", known}});
-    request->respond(json_response(status_ok, json::object()));
+    answer_report(request, endpoint_id);
+}
+
+void sidecar::answer_report(const std::shared_ptr<exchange>& request, const std::string& endpoint_id) {
+    const auto& current = local_.tracker().current();
+    const bool has_left =
+        current.endpoint_id == endpoint_id && current.state == mesh::endpoint_state::draining;
+    if (has_left && !is_departure_stored()) {
+        departure_answers_.add(request, clock_.now());
+        write_self();
+    } else {
+        request->respond(json_response(status_ok, json::object()));
+    }
 }
 
 void sidecar::on_metrics(const std::shared_ptr<exchange>& request) {
@@ -434,7 +446,7 @@
     self_.version = endpoint.version;
     self_.slots = endpoint.slots;
     self_.state = endpoint.state;
-    self_.endpoint_start_unix_ms = endpoint.start_unix_ms;
+    self_.endpoint_start_unix_ms = local_.tracker().start_unix_ms();
     self_.stopping = stopping_since_.has_value();
     peers_.set_self(self_);
     write_self();
@@ -457,15 +469,27 @@
         const bool moved = stored.address != self_.address || stored.failure_domain != self_.failure_domain ||
                            stored.service != self_.service;
         const bool departed = self_.state == mesh::endpoint_state::draining && !self_.endpoint_id.empty();
-        const bool recorded = stored.state == mesh::endpoint_state::draining &&
-                              stored.endpoint_id == self_.endpoint_id &&
-                              stored.endpoint_start_unix_ms >= self_.endpoint_start_unix_ms;
-        return moved || (departed && !recorded);
+        return moved || (departed && !is_departure_stored());
     } catch (const error&) {
         return true;
     }
 }
 
+/// True when the store holds the departure of the current endpoint.
+bool sidecar::is_departure_stored() const {
+    const auto* row = own_member_row();
+    if (row == nullptr) {
+        return false;
+    }
+    try {
+        const auto stored = mesh::decode_member(row->value);
+        return stored.state == mesh::endpoint_state::draining && stored.endpoint_id == self_.endpoint_id &&
+               stored.endpoint_start_unix_ms >= self_.endpoint_start_unix_ms;
+    } catch (const error&) {
+        return false;
+    }
+}
+
 /// Writes this daemon's member row. Peers find the daemon by it, and after a restart the daemon reads the
 /// last departure of its endpoint.
 void sidecar::write_self() {
@@ -483,6 +507,9 @@
     const mesh::store_row row{std::string{own_table}, key, mesh::encode(self_), 0};
     write(row, known == nullptr || known->removed ? 0 : known->version, [this, is_first](bool written) {
         writing_self_ = false;
+        if (!departure_answers_.empty() && is_departure_stored()) {
+            departure_answers_.acknowledge();
+        }
         if (!written) {
             next_self_write_ = clock_.now() + store_retry_delay;
         } else if (is_first) {
@@ -568,6 +595,7 @@
         }
     }
     write_self();
+    departure_answers_.tick(now);
     advance_rollouts(now);
     compare_rows(now);
     log_summary(now);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -1,6 +1,7 @@
 #pragma once
 // The daemon that runs beside one backend server. Owns all components, which share one event loop.
 
+#include "sidecar/departure_answers.h"
 #include "sidecar/forwarder.h"
 #include "sidecar/store_client.h"
 
@@ -48,6 +49,9 @@
     void on_store_health(bool healthy);
     void select_readers(time_point now);
     [[nodiscard]] bool is_meeting(time_point now) const;
+    /// Answers a report of the endpoint; one that has left gets its answer once that is stored.
+    void answer_report(const std::shared_ptr<exchange>& request, const std::string& endpoint_id);
+    [[nodiscard]] bool is_departure_stored() const;
     [[nodiscard]] bool needs_member_row() const;
     [[nodiscard]] const mesh::store_row* own_member_row() const;
     [[nodiscard]] mesh::missing_rows::store_timeouts store_timeouts() const;
@@ -83,6 +87,7 @@
     boost::asio::steady_timer timer_;
     std::shared_ptr<const mesh::route_index> routes_;
     mesh::member self_;
+    departure_answers departure_answers_{counters_};
     std::optional<time_point> members_requested_; ///< when a read of the members first ended
     bool members_loaded_ = false;
     std::optional<duration> store_clock_offset_; ///< of the store's clock to this daemon's
--- a/tests/mesh/membership_test.cpp
+++ b/tests/mesh/membership_test.cpp
@@ -72,6 +72,32 @@
     CHECK(endpoint.current().state == endpoint_state::draining);
 }
 
+// Guards against a departure that is acknowledged, but that others and a restart of the daemon do not learn
+// of, because no endpoint was known or its start was not.
+TEST_CASE("a departure tells which starts it binds") {
+    auto unknown = tracker();
+    const auto before = unknown.revision();
+    unknown.on_deregister("i-1", 5000);
+    CHECK(unknown.revision() > before);
+    CHECK(unknown.current().endpoint_id == "i-1");
+    CHECK(unknown.current().state == endpoint_state::draining);
+    CHECK(unknown.start_unix_ms() == 5000);
+    auto from_health = tracker();
+    from_health.on_health("i-1", true, 4);
+    from_health.on_deregister("i-1", 5000);
+    CHECK(from_health.start_unix_ms() == 5000);
+    from_health.on_heartbeat(beat("i-1", 1000, 7), start);
+    CHECK(from_health.start_unix_ms() == 5000);
+    auto usual = tracker();
+    usual.on_heartbeat(beat("i-1", 1000, 7), start);
+    CHECK(usual.start_unix_ms() == 1000);
+    usual.on_deregister("i-1", 5000);
+    CHECK(usual.start_unix_ms() == 1000);
+    usual.on_heartbeat(beat("i-2", 6000, 1), start);
+    CHECK(usual.start_unix_ms() == 6000);
+    CHECK(usual.is_ready());
+}
+
 TEST_CASE("a heartbeat of another service or address is rejected") {
     auto endpoint = tracker();
     auto forged = beat("i-9", 9000, 1);
