Refuse requests that wait for a slot when a stop begins and may outlast it

Here the caller would get 502 for a request that another endpoint could have run.

Cause: the stop deadline was checked when a request arrives at an endpoint's daemon. One that waited for a slot already kept its place and could start seconds later, with a deadline beyond the end of the process.

Change: when the stop begins, waiting requests with a later deadline are refused as not run; the caller's daemon sends them elsewhere. Those that have started, or must end in time, are left alone.

Tests: 'requests that wait for a slot beside a stopping daemon are refused and not started' fails without the refusal (0 of 2 refused, 6 of 6 run). 'a request that may outlast the grace period is refused late in it and not passed on' passed before: the reported case itself did not happen.

--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -79,6 +79,18 @@
     return item->id;
 }
 
+/// A request that starts late in the grace period would be cut at its end.
+void endpoint_service::set_stop_deadline(time_point end) {
+    stop_deadline_ = end;
+    const auto jobs = jobs_;
+    for (const auto& [id, item] : jobs) {
+        if (!item->started && item->deadline > end) {
+            gate_.remove(id);
+            refuse(item, mesh::reason::stopping, duration{0});
+        }
+    }
+}
+
 mesh::reason endpoint_service::not_starting_reason() const {
     if (!tracker_.is_ready()) {
         return mesh::reason::draining;
--- a/src/sidecar/endpoint_service.h
+++ b/src/sidecar/endpoint_service.h
@@ -22,8 +22,9 @@
     /// Applies a change to the tracker and updates the gate accordingly.
     void update(const std::function<void(mesh::endpoint_tracker&)>& change);
     [[nodiscard]] const mesh::endpoint_tracker& tracker() const { return tracker_; }
-    /// The daemon shuts down at `end`: requests with a later deadline are refused.
-    void set_stop_deadline(time_point end) { stop_deadline_ = end; }
+    /// The daemon shuts down at `end`: requests with a later deadline are refused, those in the queue at
+    /// once.
+    void set_stop_deadline(time_point end);
     /// Sets whether the version of this endpoint has been replaced. A retired endpoint starts no requests.
     void set_retired(bool retired);
     [[nodiscard]] mesh::endpoint_load load() const;
--- a/tests/sidecar/stop_test.cpp
+++ b/tests/sidecar/stop_test.cpp
@@ -76,6 +76,51 @@
     CHECK(caller.expect("HTTP/1.1 502"));
 }
 
+// Guards against passing on a request late in the grace period that is then cut without an answer at its end.
+TEST_CASE("a request that may outlast the grace period is refused late in it and not passed on") {
+    stop_fixture f;
+    f.back->holding = true;
+    raw_client early{f.loop, f.front->settings.callers_address};
+    early.send(read_call("early", 5000ms));
+    f.pass(500ms);
+    f.front->daemon->stop();
+    f.pass(3000ms);
+    REQUIRE(f.back->held.size() == 1);
+    raw_client caller{f.loop, f.front->settings.callers_address};
+    caller.send(read_call("late", 5000ms));
+    f.pass(200ms);
+    CHECK(caller.received().find("HTTP/1.1 503") != std::string::npos);
+    CHECK(f.back->held.size() == 1);
+}
+
+// Guards against starting a request late in the grace period that waited for a slot when the stop began.
+TEST_CASE("requests that wait for a slot beside a stopping daemon are refused and not started") {
+    constexpr std::size_t slots = 4;
+    constexpr std::size_t waiting = 2;
+    stop_fixture f;
+    f.store.put("op", "config", configuration(5, "books", "unsafe", "9000ms"));
+    f.pass(2000ms);
+    f.back->holding = true;
+    std::vector<std::unique_ptr<raw_client>> callers;
+    for (std::size_t i = 0; i < slots + waiting; ++i) {
+        callers.push_back(std::make_unique<raw_client>(f.loop, f.front->settings.callers_address));
+        callers.back()->send(read_call("queued" + std::to_string(i), 9000ms));
+    }
+    f.pass(300ms);
+    REQUIRE(f.back->held.size() == slots);
+    f.back->daemon->stop();
+    f.pass(300ms);
+    const auto answered_with = [&](const std::string& text) {
+        return static_cast<std::size_t>(
+            std::count_if(callers.begin(), callers.end(),
+                          [&](const auto& caller) { return stop_fixture::has(*caller, text); }));
+    };
+    CHECK(answered_with("HTTP/1.1 503") == waiting);
+    f.back->release();
+    f.pass(500ms);
+    CHECK(answered_with("served by") == slots);
+}
+
 // Guards against ending the process while a caller's connection still has response bytes to send.
 TEST_CASE("a stopping daemon does not end while a response to a caller is being sent") {
     stop_fixture f;
