Test that endived bounds a response head without end

Result: passes; each ends at the limit on a head's bytes or libcurl's own, with 502 and the outcome 'unknown'. No product change.

--- a/tests/callers/faults_test.cpp
+++ b/tests/callers/faults_test.cpp
@@ -90,6 +90,29 @@
     }
 }
 
+// Guards against a response head without end that takes the memory of the VM.
+TEST_CASE("a response head that goes on beyond the limit is an error") {
+    constexpr std::size_t endless = 8UL * 1024 * 1024;
+    const auto repeat = [](std::string_view part) {
+        std::string result;
+        while (result.size() < endless) {
+            result += part;
+        }
+        return result;
+    };
+    const std::string status_line = "HTTP/1.1 200 OK\r\n";
+    for (const auto& bytes : {status_line + repeat("X-A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"),
+                              status_line + "X-A: " + repeat("aaaaaaaaaaaaaaaaaaaaaaaa"),
+                              repeat("HTTP/1.1 100 Continue\r\n\r\n"), repeat("HTTP/1.1 200")}) {
+        scripted_backend backend{[&](const script_request&) { return script_step{bytes}; }};
+        proxy_fixture proxy{{backend.address()}};
+        const auto response = call(proxy.server.port(), "POST", "/pay", {}, "x");
+        INFO(bytes.substr(0, 64) << "\n" << response.head);
+        CHECK(response.status == 502);
+        CHECK(has_outcome(response, "unknown"));
+    }
+}
+
 // Guards against a caller who is told that its request has not run, because the backend server repeats an
 // earlier refusal on a kept connection while it runs the request.
 TEST_CASE("a duplicate of an earlier refusal is not taken for the answer to a running request") {
