Decode the own member row in one place

Cause: whether a row is due and whether a departure is stored each decoded the row and handled its errors; a handler of rows from peers only passed them on. Change: stored_member decodes it; the handler is gone. No change of behaviour.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -60,7 +60,7 @@
              local_,
              rows_,
              row_changes_,
-             {[this](const mesh::store_row& row, const mesh::row_delta* via) { on_peer_row(row, via); },
+             {[this](const mesh::store_row& row, const mesh::row_delta* via) { on_row(row, via); },
               [this](const mesh::member& about) { on_member_update(about); },
               [this](const std::string& daemon, std::int64_t start,
                      const std::vector<mesh::version_evidence>& counters) {
@@ -272,10 +272,6 @@
                                {"reason", reason}});
 }
 
-void sidecar::on_peer_row(const mesh::store_row& row, const mesh::row_delta* via) {
-    on_row(row, via);
-}
-
 void sidecar::on_operator_row(const mesh::store_row& row) {
     if (row.key == platform_wire::configuration_key) {
         on_configuration(row);
@@ -457,37 +453,34 @@
     return row == nullptr || row->removed ? nullptr : row;
 }
 
-/// True when the member row lacks what others and a restart of this daemon need from it: where the daemon is,
-/// and that its endpoint has left. Peers learn all other changes over their links.
-bool sidecar::needs_member_row() const {
+std::optional<mesh::member> sidecar::stored_member() const {
     const auto* row = own_member_row();
     if (row == nullptr) {
-        return true;
+        return std::nullopt;
     }
     try {
-        const auto stored = mesh::decode_member(row->value);
-        const bool moved = stored.address != self_.address || stored.failure_domain != self_.failure_domain ||
-                           stored.service != self_.service;
-        const bool departed = self_.state == mesh::endpoint_state::draining && !self_.endpoint_id.empty();
-        return moved || (departed && !is_departure_stored());
+        return mesh::decode_member(row->value);
     } catch (const error&) {
-        return true;
+        return std::nullopt; // a row of another writer, which is replaced
     }
 }
 
+/// True when the member row lacks what others and a restart of this daemon need from it: where the daemon is,
+/// and that its endpoint has left. Peers learn all other changes over their links.
+bool sidecar::needs_member_row() const {
+    const auto stored = stored_member();
+    const bool moved = !stored || stored->address != self_.address ||
+                       stored->failure_domain != self_.failure_domain || stored->service != self_.service;
+    const bool departed = self_.state == mesh::endpoint_state::draining && !self_.endpoint_id.empty();
+    return moved || (departed && !is_departure_stored());
+}
+
 /// True when the store holds the departure of the current endpoint.
 bool sidecar::is_departure_stored() const {
-    const auto* row = own_member_row();
-    if (row == nullptr) {
-        return false;
-    }
-    try {
-        const auto stored = mesh::decode_member(row->value);
-        return stored.state == mesh::endpoint_state::draining && stored.endpoint_id == self_.endpoint_id &&
-               stored.endpoint_start_unix_ms >= self_.endpoint_start_unix_ms;
-    } catch (const error&) {
-        return false;
-    }
+    const auto stored = stored_member();
+    return stored && stored->state == mesh::endpoint_state::draining &&
+           stored->endpoint_id == self_.endpoint_id &&
+           stored->endpoint_start_unix_ms >= self_.endpoint_start_unix_ms;
 }
 
 /// Writes this daemon's member row. Peers find the daemon by it, and after a restart the daemon reads the
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -45,7 +45,6 @@
     void update_contact(time_point now);
     void send_evidence(const std::string& service);
     void report_malformed(const mesh::store_row& row, std::string_view place, std::string_view reason);
-    void on_peer_row(const mesh::store_row& row, const mesh::row_delta* via);
     void on_store_health(bool healthy);
     void select_readers(time_point now);
     [[nodiscard]] bool is_meeting(time_point now) const;
@@ -54,6 +53,8 @@
     [[nodiscard]] bool is_departure_stored() const;
     [[nodiscard]] bool needs_member_row() const;
     [[nodiscard]] const mesh::store_row* own_member_row() const;
+    /// What the own member row says; empty without one that can be read.
+    [[nodiscard]] std::optional<mesh::member> stored_member() const;
     [[nodiscard]] mesh::missing_rows::store_timeouts store_timeouts() const;
     void on_row_update(const mesh::store_row& row, time_point now);
     void compare_rows(time_point now);
