Add the types and messages that tenants, quotas and request costs need

Cause: configurations may hold tenants with API keys, endpoints tell the pace of their VM, and daemons have to exchange key proofs, quota tokens and costs; none of this had a type, a field or a setting. Change: tenants and public routes are decoded, the settings take fail_closed, revoke_time, the quota's bounds and max_descriptors, and calls, replies, loads, pings and a new quota message carry the fields that docs/tenants-and-overload.md fixes.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -41,6 +41,7 @@
     std::uint32_t max_attempts = 1; ///< maximum number of endpoints that may run one request
     std::uint32_t priority = 0;     ///< 0 is the highest
     std::vector<split_part> parts;  ///< one element when the route leads to a single service
+    bool is_public = false;         ///< needs no API key although the configuration has tenants
     friend auto operator<=>(const route&, const route&) = default;
 };
 
@@ -51,6 +52,16 @@
     friend auto operator<=>(const service&, const service&) = default;
 };
 
+/// A customer whose callers identify themselves by an API key.
+struct tenant {
+    std::string name;
+    std::vector<std::string> api_keys;
+    std::optional<std::uint32_t> priority; ///< goes before the priority of the route
+    double rate_per_s = 0;                 ///< quota over all daemons together; 0 means no limit
+    double burst = 0;                      ///< requests beyond the rate
+    friend auto operator<=>(const tenant&, const tenant&) = default;
+};
+
 /// Limits on the requests of callers.
 struct caller_limits {
     std::uint64_t header_bytes = 16UL * 1024;
@@ -65,6 +76,7 @@
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::vector<service> services;
+    std::vector<tenant> tenants; ///< without any, requests carry no API key
     caller_limits limits;
     friend auto operator<=>(const configuration&, const configuration&) = default;
 };
@@ -366,6 +378,9 @@
     double slowness = 0;
     bool accepting = true;
     double link_use = 0; ///< of the VM's network link by received bytes, recently; 0 to 1
+    /// Expected time that an idle endpoint slot needs for all that runs or waits here; zero when unknown.
+    duration work{0};
+    double pace = 1; ///< how long work takes on the VM now, relative to its usual speed
     friend auto operator<=>(const endpoint_load&, const endpoint_load&) = default;
 };
 
--- /dev/null
+++ b/src/sidecar/active_request.h
@@ -0,0 +1,109 @@
+#pragma once
+// State of one request between its arrival and its response. Used only by the parts of the forwarder.
+
+#include "sidecar/forwarder.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace endive::sidecar {
+
+/// A daemon that has just started or lost its endpoints usually has a current view after this time.
+inline constexpr duration default_retry_after = milliseconds{300};
+/// Failures added to a daemon that is silent or shutting down, so that it is used only when no other is
+/// available.
+inline constexpr std::uint32_t suspect_failures = 6;
+/// Maximum number of refusals of one request before its caller is asked to retry later.
+inline constexpr std::uint32_t max_refusals = 4;
+
+inline constexpr unsigned status_bad_gateway = 502;
+inline constexpr unsigned status_unavailable = 503;
+inline constexpr unsigned status_gateway_timeout = 504;
+
+[[nodiscard]] std::string_view outcome_name(mesh::attempt_outcome outcome);
+
+/// An attempt and the data that its endpoint was chosen by, for the log.
+struct attempt_trace {
+    std::string daemon;
+    duration expected{0};
+    std::uint32_t outstanding = 0; ///< as last reported
+    duration load_age{0};
+    time_point sent;
+    std::string_view outcome = "open";
+    mesh::reason why = mesh::reason::none;
+    duration elapsed{0};
+
+    /// True when the request may have reached the endpoint, which may have refused it.
+    [[nodiscard]] bool may_have_arrived() const {
+        return outcome != outcome_name(mesh::attempt_outcome::not_run) ||
+               why == mesh::reason::endpoint_refused || why == mesh::reason::wrong_endpoint;
+    }
+    void end(mesh::attempt_outcome how, mesh::reason reason, time_point now) {
+        outcome = outcome_name(how);
+        why = reason;
+        elapsed = now - sent;
+    }
+};
+
+/// An attempt without a reply so far.
+struct open_call {
+    std::size_t attempt = 0; ///< index into the request's attempts
+    call_target* target = nullptr;
+    std::shared_ptr<peer_link> link; ///< keeps `target` alive; null for this daemon's own endpoint
+    std::uint64_t id = 0;
+
+    [[nodiscard]] bool is_suspect(time_point now) const { return link && link->is_suspect(now); }
+};
+
+/// A request between its arrival and its response.
+struct forwarder::active_request {
+    std::shared_ptr<exchange> caller;
+    std::shared_ptr<const mesh::route_index> routes; ///< keeps `route` alive
+    const mesh::route* route = nullptr;
+    std::string service;
+    std::string request_id;
+    header_list headers;
+    time_point arrived;
+    time_point deadline;
+    std::size_t body_bytes = 0;
+    duration age{0};                  ///< since the caller's first request, at arrival
+    std::uint64_t target = 0;         ///< hash of host and target
+    time_point caller_deadline;       ///< without the route's timeout
+    std::uint32_t refused_before = 0; ///< earlier attempts of the caller that were refused
+    version_choice version;
+    std::vector<attempt_trace> attempts;
+    std::uint32_t sent = 0; ///< ended attempts that reached an endpoint or may have done so
+    std::uint32_t refusals = 0;
+    std::uint32_t busy_answers = 0; ///< endpoints without a free slot
+    std::uint32_t skipped_full = 0; ///< endpoints skipped because they recently rejected a similar request
+    duration retry_after{0};        ///< minimum over the refusals
+    mesh::reason last_refusal = mesh::reason::no_endpoint;
+    std::vector<open_call> calls;  ///< more than one when the link of an attempt became suspect
+    time_point next_replacement{}; ///< when another endpoint may be asked next while all links are suspect
+    bool hedged = false;           ///< a second endpoint was asked because the first one is slow
+    std::optional<reply_message> failed_answer; ///< the endpoint's error response, if no retry succeeds
+
+    void record_refusal(mesh::reason why, duration wait) {
+        last_refusal = why;
+        retry_after = retry_after == duration{0} ? wait : std::min(retry_after, wait);
+    }
+    [[nodiscard]] mesh::admission_criteria admission(time_point now) const {
+        return {route->priority, route->latency_target, deadline - now, now - arrived + age};
+    }
+    /// Attempts that count against the route's maximum.
+    [[nodiscard]] std::size_t attempts_used() const { return sent + calls.size(); }
+    /// True when an attempt is open on a link that is not suspect.
+    [[nodiscard]] bool has_responsive_call(time_point now) const {
+        return std::any_of(calls.begin(), calls.end(),
+                           [&](const open_call& call) { return !call.is_suspect(now); });
+    }
+};
+
+/// An endpoint that a request may be sent to.
+struct forwarder::endpoint_option {
+    const mesh::member* about = nullptr;
+    peer* remote = nullptr; ///< null for this daemon's own endpoint
+    mesh::candidate facts;
+};
+
+} // namespace endive::sidecar
--- a/src/sidecar/messages.cpp
+++ b/src/sidecar/messages.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <limits>
 
 namespace endive::sidecar {
 namespace {
@@ -13,6 +14,8 @@
 
 /// Maximum total size of the decompressed rows of one announcement.
 constexpr std::uint64_t max_announced_bytes = 4 * max_unpacked_bytes;
+/// More tokens than any tenant's quota.
+constexpr double max_quota_tokens = 1e12;
 
 struct payload_offset {
     wire::payload type;
@@ -33,6 +36,13 @@
     return out.CreateVector(reinterpret_cast<const std::uint8_t*>(body.data()), body.size());
 }
 
+/// Microseconds, bounded by the range of the field.
+std::uint32_t encode_us(duration value) {
+    const auto count = std::chrono::duration_cast<std::chrono::microseconds>(value).count();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 auto encode_load(builder& out, const mesh::endpoint_load& load) {
     constexpr double per_mille = 1000.0;
     return wire::Createload(
@@ -40,7 +50,8 @@
         static_cast<std::uint32_t>(
             std::chrono::duration_cast<std::chrono::microseconds>(load.service_time).count()),
         static_cast<std::uint32_t>(load.slowness * per_mille), load.accepting,
-        static_cast<std::uint16_t>(load.link_use * per_mille));
+        static_cast<std::uint16_t>(load.link_use * per_mille), encode_us(load.work),
+        static_cast<std::uint32_t>(load.pace * per_mille));
 }
 
 payload_offset encode(builder& out, const call_message& value) {
@@ -52,12 +63,17 @@
     const auto headers = encode_headers(out, value.headers);
     const auto body = encode_body(out, value.body);
     const auto route = out.CreateString(value.route);
+    // An absent tenant takes no bytes.
+    const auto tenant =
+        value.tenant.empty() ? flatbuffers::Offset<flatbuffers::String>{} : out.CreateString(value.tenant);
     return {wire::payload::call,
             wire::Createcall(out, value.stream, service, endpoint_id, request_id, method, target, headers,
                              body, route, static_cast<std::uint32_t>(value.remaining.count()),
                              static_cast<std::uint32_t>(value.latency_target.count()),
                              static_cast<std::uint32_t>(value.waited.count()), value.priority,
-                             static_cast<std::uint8_t>(value.kind), value.only_if_free, value.repeated)
+                             static_cast<std::uint8_t>(value.kind), value.only_if_free, value.repeated,
+                             tenant, value.key_digest, encode_us(value.expected_cost),
+                             static_cast<std::uint8_t>(std::min(value.refused_before, 255U)))
                 .Union()};
 }
 
@@ -70,10 +86,10 @@
     const auto body = encode_body(out, value.body);
     const auto load = encode_load(out, value.load);
     return {wire::payload::reply,
-            wire::Createreply(out, value.stream, static_cast<wire::outcome>(value.outcome),
-                              static_cast<std::uint16_t>(value.status), headers, body,
-                              static_cast<std::uint8_t>(value.why),
-                              static_cast<std::uint32_t>(value.retry_after.count()), load)
+            wire::Createreply(
+                out, value.stream, static_cast<wire::outcome>(value.outcome),
+                static_cast<std::uint16_t>(value.status), headers, body, static_cast<std::uint8_t>(value.why),
+                static_cast<std::uint32_t>(value.retry_after.count()), load, encode_us(value.service_time))
                 .Union()};
 }
 
@@ -164,7 +180,25 @@
 }
 
 payload_offset encode(builder& out, const ping_message& value) {
-    return {wire::payload::ping, wire::Createping(out, value.id, value.answer).Union()};
+    flatbuffers::Offset<wire::key_proof> proof;
+    if (value.proof) {
+        proof = wire::Createkey_proof(out, value.proof->version,
+                                      static_cast<std::uint64_t>(value.proof->age.count()));
+    }
+    return {wire::payload::ping, wire::Createping(out, value.id, value.answer, proof).Union()};
+}
+
+payload_offset encode(builder& out, const quota_message& value) {
+    std::vector<flatbuffers::Offset<wire::quota_entry>> entries;
+    entries.reserve(value.entries.size());
+    for (const auto& entry : value.entries) {
+        entries.push_back(wire::Createquota_entry(out, out.CreateString(entry.tenant), entry.tokens,
+                                                  entry.returned,
+                                                  static_cast<std::uint32_t>(entry.wait.count())));
+    }
+    const auto entries_offset = out.CreateVector(entries);
+    return {wire::payload::quota,
+            wire::Createquota(out, value.id, value.answer, value.configuration, entries_offset).Union()};
 }
 
 std::string text_of(const flatbuffers::String* text) {
@@ -197,7 +231,9 @@
             std::chrono::microseconds{load->service_time_us()},
             load->slowness_permille() / per_mille,
             load->accepting(),
-            std::min(1.0, load->link_use_permille() / per_mille)};
+            std::min(1.0, load->link_use_permille() / per_mille),
+            std::chrono::microseconds{load->work_us()},
+            load->pace_permille() / per_mille};
 }
 
 call_message decode(const wire::call& value) {
@@ -219,7 +255,11 @@
             value.priority(),
             static_cast<mesh::request_kind>(value.kind()),
             value.only_if_free(),
-            value.repeated()};
+            value.repeated(),
+            text_of(value.tenant()),
+            value.key_digest(),
+            std::chrono::microseconds{value.expected_cost_us()},
+            value.refused_before()};
 }
 
 reply_message decode(const wire::reply& value) {
@@ -234,7 +274,8 @@
             decode_body(value.body()),
             static_cast<mesh::reason>(value.reason()),
             milliseconds{value.retry_after_ms()},
-            decode_load(value.sender_load())};
+            decode_load(value.sender_load()),
+            std::chrono::microseconds{value.service_time_us()}};
 }
 
 std::vector<mesh::store_row> decode_rows(const flatbuffers::Vector<flatbuffers::Offset<wire::row>>* rows) {
@@ -321,6 +362,29 @@
     return result;
 }
 
+/// An age in microseconds; a longer one than any time-out counts as that long, so that sums of it do not
+/// overflow.
+std::chrono::microseconds decode_age(std::uint64_t age_us) {
+    constexpr std::uint64_t max_age_us = 86'400'000'000;
+    return std::chrono::microseconds{std::min(age_us, max_age_us)};
+}
+
+quota_message decode(const wire::quota& value) {
+    quota_message result{value.id(), value.answer(), value.configuration(), {}};
+    if (value.entries() != nullptr) {
+        for (const auto* entry : *value.entries()) {
+            // The comparisons are false for NaN.
+            if (!(entry->tokens() >= 0.0 && entry->tokens() <= max_quota_tokens) ||
+                !(entry->returned() >= 0.0 && entry->returned() <= max_quota_tokens)) {
+                throw error{result_code::peer_frame_malformed, "number of quota tokens out of range"};
+            }
+            result.entries.push_back({text_of(entry->tenant()), entry->tokens(), entry->returned(),
+                                      milliseconds{entry->wait_ms()}});
+        }
+    }
+    return result;
+}
+
 /// The payload as the given table. The verifier accepts a message with a payload type and no payload.
 template <typename table>
 const table& payload_of(const wire::message& message) {
@@ -368,8 +432,14 @@
     }
     case wire::payload::ping: {
         const auto& value = payload_of<wire::ping>(*message);
-        return ping_message{value.id(), value.answer()};
+        ping_message ping{value.id(), value.answer(), std::nullopt};
+        if (const auto* proof = value.proof()) {
+            ping.proof = key_proof{proof->version(), decode_age(proof->age_us())};
+        }
+        return ping;
     }
+    case wire::payload::quota:
+        return decode(payload_of<wire::quota>(*message));
     case wire::payload::NONE:
         break;
     }
--- a/src/sidecar/messages.h
+++ b/src/sidecar/messages.h
@@ -6,6 +6,7 @@
 
 #include "endive/mesh.h"
 
+#include <optional>
 #include <variant>
 
 namespace endive::sidecar {
@@ -26,8 +27,12 @@
     milliseconds waited{0}; ///< time since the caller's request arrived
     std::uint32_t priority = 0;
     mesh::request_kind kind = mesh::request_kind::unsafe;
-    bool only_if_free = false; ///< answered `busy` when the endpoint has no free slot
-    bool repeated = false;     ///< another endpoint has been sent this request before
+    bool only_if_free = false;                  ///< answered `busy` when the endpoint has no free slot
+    bool repeated = false;                      ///< another endpoint has been sent this request before
+    std::string tenant{};                       ///< empty without an API key
+    std::uint64_t key_digest = 0;               ///< keyed digest of the API key; 0 without one
+    std::chrono::microseconds expected_cost{0}; ///< at an endpoint of usual speed; zero when unknown
+    std::uint32_t refused_before = 0; ///< earlier attempts of the caller that were refused; at most 255
 };
 
 /// The caller of an earlier call message has disconnected.
@@ -44,6 +49,8 @@
     mesh::reason why = mesh::reason::none;
     milliseconds retry_after{0};
     mesh::endpoint_load load;
+    /// Time that the endpoint took; zero when it did not run the request to its end.
+    std::chrono::microseconds service_time{0};
 };
 
 /// State that the sender publishes; empty parts are omitted.
@@ -66,13 +73,38 @@
     std::vector<mesh::store_row> known; ///< heads that the sender has; the answer may hold deltas from them
 };
 
+/// Proof of how current the sender's configuration row is: no newer one than `version` existed `age` before
+/// the message was sent.
+struct key_proof {
+    std::uint64_t version = 0;
+    std::chrono::microseconds age{0};
+    friend auto operator<=>(const key_proof&, const key_proof&) = default;
+};
+
 struct ping_message {
     std::uint64_t id = 0;
     bool answer = false;
+    std::optional<key_proof> proof{}; ///< only in answers
+};
+
+struct quota_entry {
+    std::string tenant;
+    double tokens = 0;    ///< wanted, in an answer leased
+    double returned = 0;  ///< tokens that the sender gives back
+    milliseconds wait{0}; ///< in an answer: time until there are more when there are too few
+    friend auto operator<=>(const quota_entry&, const quota_entry&) = default;
+};
+
+/// Asks the daemon that coordinates the quotas of some tenants for tokens, or answers that.
+struct quota_message {
+    std::uint64_t id = 0;
+    bool answer = false;
+    std::uint64_t configuration = 0; ///< version of the configuration that the sender has in force
+    std::vector<quota_entry> entries;
 };
 
-using peer_message =
-    std::variant<call_message, cancel_message, reply_message, announce_message, fetch_message, ping_message>;
+using peer_message = std::variant<call_message, cancel_message, reply_message, announce_message,
+                                  fetch_message, ping_message, quota_message>;
 
 /// Maximum frame size: a body of the maximum size accepted from callers, plus its headers.
 inline constexpr std::size_t max_message_bytes = 72UL * 1024 * 1024;
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -53,6 +53,15 @@
     constexpr double max_exposure_slack = 1'000'000;
     result.exposure_slack =
         reader.optional_number("exposure_slack", result.exposure_slack, 0.0, max_exposure_slack);
+    constexpr std::int64_t max_max_descriptors = 10'000'000;
+    result.max_descriptors =
+        reader.optional_integer("max_descriptors", result.max_descriptors, 64, max_max_descriptors);
+    result.fail_closed = reader.optional_boolean("fail_closed", result.fail_closed);
+    result.revoke_time = read_duration(reader, "revoke_time", result.revoke_time);
+    result.quota_window = read_duration(reader, "quota_window", result.quota_window);
+    result.quota_overage = reader.optional_number("quota_overage", result.quota_overage, 0.0, 10.0);
+    constexpr double max_quota_slack = 1'000'000;
+    result.quota_slack = reader.optional_number("quota_slack", result.quota_slack, 0.0, max_quota_slack);
     return result;
 }
 
--- a/tests/sidecar/messages_test.cpp
+++ b/tests/sidecar/messages_test.cpp
@@ -37,6 +37,10 @@
                       20ms,
                       2,
                       mesh::request_kind::upload};
+    call.tenant = "tenant-1";
+    call.key_digest = 0x1234567890abcdefULL;
+    call.expected_cost = 1500us;
+    call.refused_before = 300;
     const auto got = std::get<call_message>(round_trip(call));
     CHECK(got.stream == 7);
     CHECK(got.endpoint_id == "i-1");
@@ -45,14 +49,41 @@
     CHECK(got.remaining == 1500ms);
     CHECK(got.waited == 20ms);
     CHECK(got.kind == mesh::request_kind::upload);
+    CHECK(got.tenant == call.tenant);
+    CHECK(got.key_digest == call.key_digest);
+    CHECK(got.expected_cost == 1500us);
+    CHECK(got.refused_before == 255); // the most that the field holds
 
-    reply_message reply{9,      mesh::attempt_outcome::not_run, 503,  {{"A", "1"}},
-                        "body", mesh::reason::no_room,          80ms, {3, 12, 120ms, 0.25, false, 0.5}};
+    reply_message reply{
+        9,      mesh::attempt_outcome::not_run, 503,  {{"A", "1"}},
+        "body", mesh::reason::no_room,          80ms, {3, 12, 120ms, 0.25, false, 0.5, 90ms, 2.5},
+        30ms};
     const auto back = std::get<reply_message>(round_trip(reply));
     CHECK(back.outcome == mesh::attempt_outcome::not_run);
     CHECK(back.why == mesh::reason::no_room);
     CHECK(back.retry_after == 80ms);
     CHECK(back.load == reply.load);
+    CHECK(back.service_time == reply.service_time);
+}
+
+TEST_CASE("quota messages and proofs of current keys survive encoding") {
+    const quota_message quota{5, true, 12, {{"tenant-1", 2.5, 0.5, 40ms}}};
+    const auto got = std::get<quota_message>(round_trip(quota));
+    CHECK(got.id == 5);
+    CHECK(got.answer);
+    CHECK(got.configuration == 12);
+    CHECK(got.entries == quota.entries);
+
+    const ping_message ping{3, true, key_proof{17, 250ms}};
+    CHECK(std::get<ping_message>(round_trip(ping)).proof == ping.proof);
+    CHECK_FALSE(std::get<ping_message>(round_trip(ping_message{4, false})).proof);
+}
+
+TEST_CASE("a quota message with an impossible number of tokens is malformed") {
+    for (const double tokens : {-1.0, 1e300, std::numeric_limits<double>::quiet_NaN()}) {
+        const quota_message quota{5, true, 12, {{"tenant-1", tokens, 0, 0ms}}};
+        CHECK_THROWS_AS(round_trip(quota), error);
+    }
 }
 
 TEST_CASE("announcements carry members, rows, heads and counters") {
