Order rows by the store's era before their version

Cause: a store that comes back from an older copy assigns versions again. Daemons took its rows for older ones and ignored every later configuration until the versions had passed the old ones, watched from versions that meant something else, and never repeated the member rows, departures and rollout statuses that were lost. Change: the era of the header Store-Era takes the upper bits of each row version inside the daemons, so that all places that order rows follow it. A change of era makes readers read their table again; each daemon writes its member row again, the results of rollouts and the records of their starts are due again, with conditions that the restored store can hold. The stand-in of the store and the watches could not express eras before, so the tests do not build on the code before the change.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -206,6 +206,23 @@
 /// True when `candidate` is newer than `known` about the same daemon.
 [[nodiscard]] bool supersedes(const member& candidate, const member& known);
 
+/// A store that has been restored from an older copy assigns versions again; its era tells them apart. The
+/// daemons order rows by (era, version of the store), which they keep in one number: the era in the upper
+/// bits, the store's version in the lower ones. A row of a newer era is newer whatever its version.
+inline constexpr unsigned store_version_bits = 44;
+inline constexpr std::uint64_t max_store_version = (std::uint64_t{1} << store_version_bits) - 1;
+inline constexpr std::uint32_t max_store_era = (std::uint32_t{1} << (64 - store_version_bits)) - 1;
+/// Precondition: neither argument exceeds its maximum.
+[[nodiscard]] constexpr std::uint64_t row_version(std::uint32_t era, std::uint64_t store_version) {
+    return std::uint64_t{era} << store_version_bits | store_version;
+}
+[[nodiscard]] constexpr std::uint32_t era_of(std::uint64_t row_version) {
+    return static_cast<std::uint32_t>(row_version >> store_version_bits);
+}
+[[nodiscard]] constexpr std::uint64_t store_version_of(std::uint64_t row_version) {
+    return row_version & max_store_version;
+}
+
 /// A row of the store as daemons exchange it. The greater version is the newer. A row without its value is
 /// called a head.
 struct store_row {
--- a/src/sidecar/events.cpp
+++ b/src/sidecar/events.cpp
@@ -18,6 +18,8 @@
     event_entry{store_lost, "store_lost", warning, lifecycle},
     event_entry{store_regained, "store_regained", info, lifecycle},
     event_entry{store_history_gone, "store_history_gone", info, lifecycle},
+    event_entry{store_restored, "store_restored", warning, lifecycle},
+    event_entry{store_era_changed, "store_era_changed", warning, lifecycle},
     event_entry{store_answer_malformed, "store_answer_malformed", warning, lifecycle},
     event_entry{store_write_failed, "store_write_failed", info, lifecycle},
     event_entry{reader_changed, "reader_changed", info, lifecycle},
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -16,6 +16,8 @@
     store_lost,
     store_regained,
     store_history_gone,
+    store_restored,
+    store_era_changed,
     store_answer_malformed,
     store_write_failed,
     reader_changed,
--- a/src/sidecar/rollouts.cpp
+++ b/src/sidecar/rollouts.cpp
@@ -41,6 +41,12 @@
     if (row.version <= item.order_version) {
         return;
     }
+    if (item.rollout && item.rollout->order() == order &&
+        mesh::era_of(row.version) > mesh::era_of(item.order_version)) {
+        // The order as the restored store has it, or as the operator has repeated it: the rollout goes on.
+        item.order_version = row.version;
+        return;
+    }
     if (running().empty()) {
         last_advance_ = now;
     }
@@ -87,8 +93,12 @@
 void rollouts::on_start(std::string_view service, const mesh::rollout_start& start,
                         std::optional<duration> elapsed, time_point now) {
     const auto found = services_.find(std::string{service});
-    if (found == services_.end() || found->second.order_version != start.order_version ||
-        !found->second.rollout) {
+    // A restored store has rows of earlier eras, with the versions that they had.
+    const bool same_order =
+        found != services_.end() &&
+        mesh::store_version_of(found->second.order_version) == mesh::store_version_of(start.order_version) &&
+        mesh::era_of(found->second.order_version) >= mesh::era_of(start.order_version);
+    if (!same_order || !found->second.rollout) {
         return;
     }
     found->second.start_recorded = true;
@@ -99,6 +109,18 @@
     }
 }
 
+void rollouts::on_store_restored(std::uint32_t era) {
+    store_era_ = era;
+    for (auto& [service, item] : services_) {
+        item.start_recorded = false;
+    }
+}
+
+bool rollouts::must_repeat_final_status(const entry& item) const {
+    return store_era_ > 0 && (mesh::era_of(item.status_version) < store_era_ ||
+                              item.status->state != item.rollout->final_state());
+}
+
 void rollouts::on_evidence(const std::string& daemon, std::int64_t start,
                            std::span<const mesh::version_evidence> counters) {
     evidence_[daemon] = {start, {counters.begin(), counters.end()}};
@@ -254,10 +276,16 @@
                        const std::function<bool(const std::string&, const std::string&)>& old_idle) const {
     std::vector<status_write> result;
     for (const auto& [service, item] : services_) {
-        if (!item.rollout || item.rollout->final_state()) {
+        if (!item.rollout) {
             continue;
         }
         const auto& order = item.rollout->order();
+        if (const auto final = item.rollout->final_state()) {
+            if (must_repeat_final_status(item)) {
+                result.push_back({{service, order.to, *final}, item.status_version});
+            }
+            continue;
+        }
         const bool status_is_current = item.status && item.status_version > item.order_version;
         if (item.rollout->is_bad()) {
             result.push_back({{service, order.to, mesh::rollout_state::rolled_back}, item.status_version});
--- a/src/sidecar/rollouts.h
+++ b/src/sidecar/rollouts.h
@@ -34,6 +34,9 @@
     /// empty when this daemon does not know the clock that the row was written by.
     void on_start(std::string_view service, const mesh::rollout_start& start, std::optional<duration> elapsed,
                   time_point now);
+    /// The store has been restored from an older copy and may lack what the daemons wrote last: unfinished
+    /// rollouts are recorded again, and final statuses are due again until they are seen in this era.
+    void on_store_restored(std::uint32_t era);
     void on_evidence(const std::string& daemon, std::int64_t start,
                      std::span<const mesh::version_evidence> counters);
     /// `evaluators(service)` lists the daemons that evaluate the rollouts of a service in order of
@@ -91,8 +94,10 @@
     void follow(entry& item, const std::vector<std::string>& evaluators, time_point now);
     [[nodiscard]] bool may_evaluate(time_point now) const;
     void apply_status(entry& item);
+    [[nodiscard]] bool must_repeat_final_status(const entry& item) const;
     mesh::rollout_settings settings_;
     std::string daemon_;
+    std::uint32_t store_era_ = 0; ///< of the last restoration that this daemon has seen
     std::map<std::string, entry> services_;
     time_point last_advance_{};
     bool may_decide_ = false;           ///< at the last advance
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -4,6 +4,7 @@
 #include "sidecar/departure_answers.h"
 #include "sidecar/forwarder.h"
 #include "sidecar/store_client.h"
+#include "sidecar/store_era.h"
 
 namespace endive::sidecar {
 
@@ -38,6 +39,7 @@
     void write_self();
     void write_due_statuses(time_point now);
     void write(const mesh::store_row& row, std::uint64_t expected, std::function<void(bool written)> done);
+    void observe_era(std::uint32_t era);
     void load_table(const std::string& table, const std::string& from);
     [[nodiscard]] std::vector<mesh::store_row> row_heads() const;
     [[nodiscard]] std::vector<std::string> evaluators_of(const std::string& service) const;
@@ -91,6 +93,7 @@
     departure_answers departure_answers_{counters_};
     std::optional<time_point> members_requested_; ///< when a read of the members first ended
     bool members_loaded_ = false;
+    store_era era_;
     std::optional<duration> store_clock_offset_; ///< of the store's clock to this daemon's
     bool statuses_requested_ = false;
     bool statuses_loaded_ = false;
--- a/src/sidecar/sidecar_members.cpp
+++ b/src/sidecar/sidecar_members.cpp
@@ -32,7 +32,7 @@
 
 std::optional<mesh::member> sidecar::stored_member() const {
     const auto* row = own_member_row();
-    if (row == nullptr) {
+    if (row == nullptr || era_.is_outdated(*row)) {
         return std::nullopt;
     }
     try {
@@ -108,7 +108,7 @@
     for (const auto& about : peers_.expired_members(now)) {
         const auto key = std::string{member_prefix} + about.daemon;
         const auto* row = rows_.find(own_table, key);
-        if (row != nullptr && !row->removed && duty_rank(key) == 0) {
+        if (row != nullptr && !row->removed && !era_.is_outdated(*row) && duty_rank(key) == 0) {
             const platform_wire::row_condition condition{row->table, key, row->version};
             counters_.add("store_writes");
             store_.call(platform_wire::remove_row(condition), store_timeout,
--- a/src/sidecar/sidecar_rows.cpp
+++ b/src/sidecar/sidecar_rows.cpp
@@ -8,10 +8,33 @@
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_precondition_failed = 412;
+/// After the store has been restored all daemons write their member rows; this spreads 300 of them over 1.5
+/// s.
+constexpr duration restored_write_spread = milliseconds{5};
 
 } // namespace
 
+/// Called with the era of each answer of the store and of each row. After the store has been restored, what
+/// the daemons wrote in its lost time is written again: here the own member row, and what the rollouts hold.
+void sidecar::observe_era(std::uint32_t era) {
+    const auto before = era_.current();
+    if (!era_.observe(era)) {
+        return;
+    }
+    log(event::store_era_changed, {{"era", era}, {"era_before", before}});
+    counters_.add("store_era_changed");
+    next_self_write_ = clock_.now() + restored_write_spread * duty_rank("restored");
+    rollouts_.on_store_restored(era);
+    if (statuses_requested_) {
+        load_table(std::string{platform_wire::status_table}, {});
+    }
+    if (operator_rows_.is_active()) {
+        load_table(std::string{own_table}, {});
+    }
+}
+
 void sidecar::on_row(const mesh::store_row& row, const mesh::row_delta* via) {
+    observe_era(mesh::era_of(row.version));
     std::optional<mesh::store_row> base;
     const auto* known = rows_.find(row.table, row.key);
     if (via == nullptr && known != nullptr && row.value.size() >= min_packed_bytes) {
@@ -150,7 +173,8 @@
                     bool complete = false;
                     if (answer.status == status_ok) {
                         try {
-                            const auto page = platform_wire::decode_rows(answer.body);
+                            observe_era(answer.era);
+                            const auto page = platform_wire::decode_rows(answer.body, answer.era);
                             if (page.store_time > milliseconds{0}) {
                                 store_clock_offset_ = page.store_time - clock_.now().time_since_epoch();
                             }
@@ -186,34 +210,35 @@
 }
 
 void sidecar::write(const mesh::store_row& row, std::uint64_t expected, std::function<void(bool)> done) {
-    const platform_wire::row_condition condition{row.table, row.key, expected};
+    const platform_wire::row_condition condition{row.table, row.key, era_.expected_version(expected)};
     counters_.add("store_writes");
-    store_.call(platform_wire::write_row(&condition, row), store_timeout,
-                [this, row, done = std::move(done)](const store_answer& answer) {
-                    bool written = false;
-                    try {
-                        if (answer.status == status_ok) {
-                            auto stored = row;
-                            stored.version = platform_wire::decode_transaction_version(answer.body);
-                            on_row(stored);
-                            if (!stored.key.starts_with(member_prefix)) {
-                                peers_.publish_row(stored);
-                            }
-                            written = true;
-                        } else if (answer.status == status_precondition_failed) {
-                            for (const auto& current : platform_wire::decode_rows(answer.body).rows) {
-                                on_row(current);
-                            }
-                        }
-                    } catch (const std::exception& cause) {
-                        log_malformed_answer(row.table, cause);
+    store_.call(
+        platform_wire::write_row(&condition, row), store_timeout,
+        [this, row, done = std::move(done)](const store_answer& answer) {
+            bool written = false;
+            try {
+                if (answer.status == status_ok) {
+                    auto stored = row;
+                    stored.version = platform_wire::decode_transaction_version(answer.body, answer.era);
+                    on_row(stored);
+                    if (!stored.key.starts_with(member_prefix)) {
+                        peers_.publish_row(stored);
                     }
-                    if (!written) {
-                        counters_.add("store_write_failed");
-                        log(event::store_write_failed,
-                            {{"table", row.table}, {"key", row.key}, {"status", answer.status}});
+                    written = true;
+                } else if (answer.status == status_precondition_failed) {
+                    for (const auto& current : platform_wire::decode_rows(answer.body, answer.era).rows) {
+                        on_row(current);
                     }
-                    done(written);
-                });
+                }
+            } catch (const std::exception& cause) {
+                log_malformed_answer(row.table, cause);
+            }
+            if (!written) {
+                counters_.add("store_write_failed");
+                log(event::store_write_failed,
+                    {{"table", row.table}, {"key", row.key}, {"status", answer.status}});
+            }
+            done(written);
+        });
 }
 } // namespace endive::sidecar
--- a/src/sidecar/store_client.cpp
+++ b/src/sidecar/store_client.cpp
@@ -153,7 +153,15 @@
         return;
     }
     auto response = std::move(reader_->message());
-    finish({response.status, std::move(response.body), {}, 0}, response.keep_alive && input_.empty());
+    try {
+        const auto era =
+            platform_wire::decode_store_era(find_header(response.headers, platform_wire::store_era_header));
+        finish({response.status, std::move(response.body), {}, 0, era},
+               response.keep_alive && input_.empty());
+    } catch (const error& cause) {
+        log_malformed_answer({}, cause);
+        finish({}, false);
+    }
 }
 
 void store_connection::finish(store_answer answer, bool reusable) {
@@ -247,39 +255,57 @@
     });
 }
 
+bool table_follower::update_era(std::uint32_t era) {
+    const auto before = std::exchange(era_, era);
+    if (!before || *before == era) {
+        return false;
+    }
+    log(event::store_restored, {{"table", table_}, {"era", era}, {"era_before", *before}});
+    counters_.add("store_restored");
+    version_ = 0;
+    first_page_version_.reset();
+    return true;
+}
+
 void table_follower::read(const std::string& from) {
     counters_.add("store_reads");
     connection_.call(platform_wire::read_rows(table_, from), read_timeouts,
                      [this, from](const store_answer& answer) {
-                         if (!active_) {
-                             return;
-                         }
-                         if (answer.status != status_ok) {
-                             retry("read", answer, [this, from] { read(from); });
-                             return;
-                         }
-                         try {
-                             const auto page = platform_wire::decode_rows(answer.body);
-                             set_available();
-                             // The watch starts at the version of the first page, so it repeats changes made
-                             // since then.
-                             if (!first_page_version_) {
-                                 first_page_version_ = page.version;
-                             }
-                             on_rows_(page.rows);
-                             if (page.has_more && !page.rows.empty()) {
-                                 read(page.rows.back().key + '\x01');
-                                 return;
-                             }
-                             version_ = *std::exchange(first_page_version_, std::nullopt);
-                             watch();
-                         } catch (const std::exception& cause) {
-                             log_malformed_answer(table_, cause);
-                             retry("read", answer, [this, from] { read(from); });
+                         if (active_) {
+                             on_read(from, answer);
                          }
                      });
 }
 
+void table_follower::on_read(const std::string& from, const store_answer& answer) {
+    if (answer.status != status_ok) {
+        retry("read", answer, [this, from] { read(from); });
+        return;
+    }
+    try {
+        const auto page = platform_wire::decode_rows(answer.body, answer.era);
+        set_available();
+        if (update_era(answer.era) && !from.empty()) {
+            read({}); // the pages before this one are of another era
+            return;
+        }
+        // The watch starts at the version of the first page, so it repeats changes made since then.
+        if (!first_page_version_) {
+            first_page_version_ = page.version;
+        }
+        on_rows_(page.rows);
+        if (page.has_more && !page.rows.empty()) {
+            read(page.rows.back().key + '\x01');
+            return;
+        }
+        version_ = *std::exchange(first_page_version_, std::nullopt);
+        watch();
+    } catch (const std::exception& cause) {
+        log_malformed_answer(table_, cause);
+        retry("read", answer, [this, from] { read(from); });
+    }
+}
+
 bool table_follower::is_delivering() const {
     return pausing_ || clock_.now() - connection_.last_progress() < answer_timeout;
 }
@@ -290,33 +316,42 @@
     connection_.call(platform_wire::watch_rows(table_, version_, wait),
                      call_timeouts{wait + watch_slack, watch_stall_timeout, watch_total_timeout},
                      [this](const store_answer& answer) {
-                         if (!active_) {
-                             return;
-                         }
-                         if (answer.status == status_gone) {
-                             log(event::store_history_gone, {{"table", table_}, {"after", version_}});
-                             read({});
-                             return;
-                         }
-                         if (answer.status != status_ok) {
-                             retry("watch", answer, [this] { watch(); });
-                             return;
-                         }
-                         try {
-                             const auto page = platform_wire::decode_rows(answer.body);
-                             set_available();
-                             version_ = std::max(version_, page.version);
-                             if (page.rows.empty()) {
-                                 watch();
-                                 return;
-                             }
-                             on_rows_(page.rows);
-                             schedule(pause_after_change, [this] { watch(); });
-                         } catch (const std::exception& cause) {
-                             log_malformed_answer(table_, cause);
-                             retry("watch", answer, [this] { read({}); });
+                         if (active_) {
+                             on_watched(answer);
                          }
                      });
 }
 
+void table_follower::on_watched(const store_answer& answer) {
+    if (answer.status == status_gone) {
+        log(event::store_history_gone, {{"table", table_}, {"after", version_}});
+        (void)update_era(answer.era);
+        read({});
+        return;
+    }
+    if (answer.status != status_ok) {
+        retry("watch", answer, [this] { watch(); });
+        return;
+    }
+    if (update_era(answer.era)) {
+        // The store may have assigned `version_` again, so the changes before it are unknown.
+        read({});
+        return;
+    }
+    try {
+        const auto page = platform_wire::decode_rows(answer.body, answer.era);
+        set_available();
+        version_ = std::max(version_, page.version);
+        if (page.rows.empty()) {
+            watch();
+            return;
+        }
+        on_rows_(page.rows);
+        schedule(pause_after_change, [this] { watch(); });
+    } catch (const std::exception& cause) {
+        log_malformed_answer(table_, cause);
+        retry("watch", answer, [this] { read({}); });
+    }
+}
+
 } // namespace endive::sidecar
--- a/src/sidecar/store_client.h
+++ b/src/sidecar/store_client.h
@@ -15,6 +15,7 @@
     std::string body;
     duration waited{0};             ///< since the call was sent or its connection was opened
     std::size_t received_bytes = 0; ///< of the response, which may be incomplete
+    std::uint32_t era = 0;          ///< of the store, see `mesh::row_version`
 };
 using store_callback = std::function<void(store_answer)>;
 
@@ -100,7 +101,11 @@
 
 private:
     void read(const std::string& from);
+    void on_read(const std::string& from, const store_answer& answer);
     void watch();
+    void on_watched(const store_answer& answer);
+    /// True when the store has been restored since the last answer, so that `version_` means nothing.
+    [[nodiscard]] bool update_era(std::uint32_t era);
     void retry(std::string_view call, const store_answer& answer, std::function<void()> step);
     void schedule(duration pause, std::function<void()> step);
     void set_available();
@@ -113,7 +118,8 @@
     std::string table_;
     std::function<void(const std::vector<mesh::store_row>&)> on_rows_;
     std::function<void(bool)> on_health_;
-    std::uint64_t version_ = 0;
+    std::uint64_t version_ = 0;        ///< of the store in this era
+    std::optional<std::uint32_t> era_; ///< empty before the first answer
     bool active_ = false;
     std::uint64_t starts_ = 0; ///< tells a timer of an earlier start from the current one
     std::optional<std::uint64_t> first_page_version_;
--- a/tests/platform_wire/wire_test.cpp
+++ b/tests/platform_wire/wire_test.cpp
@@ -179,3 +179,19 @@
         CHECK_FALSE(decode_deregister_start(body));
     }
 }
+
+TEST_CASE("row versions order by era first, and only the store's version is sent") {
+    const auto page = decode_rows(R"({"Rows":[{"TableName":"t","Key":"k","Ver":3,"Value":""}],"Ver":9})", 2);
+    CHECK(page.rows.at(0).version == mesh::row_version(2, 3));
+    CHECK(page.version == 9);
+    CHECK(mesh::row_version(2, 3) > mesh::row_version(1, 100));
+    CHECK(decode_transaction_version(R"({"Ver":7})", 1) == mesh::row_version(1, 7));
+    const row_condition condition{"t", "k", mesh::row_version(2, 3)};
+    CHECK(json::parse(write_row(&condition, {"t", "k", "x", 0}).body)["ExpectedRev"][0]["Ver"] == 3);
+    CHECK_THROWS_AS(decode_rows(R"({"Rows":[],"Ver":99999999999999999})"), error);
+    CHECK(decode_store_era("") == 0);
+    CHECK(decode_store_era("12") == 12);
+    for (const auto* malformed : {"x", "1x", "-1", "99999999"}) {
+        CHECK_THROWS_AS(decode_store_era(malformed), error);
+    }
+}
--- a/tests/sidecar/rollouts_test.cpp
+++ b/tests/sidecar/rollouts_test.cpp
@@ -176,3 +176,32 @@
     CHECK(moves.progress().empty());
     CHECK(moves.choose("svc", start + 9s).use_new);
 }
+
+// Guards against a decided rollout that begins anew, and against a lost verdict, when the store comes back
+// from a copy that has the order in a newer era.
+TEST_CASE("a restored store neither restarts a rollout nor loses its result") {
+    rollouts moves{sidecar_settings{}};
+    moves.on_order(order, start);
+    moves.on_status(status("completed", 20));
+    const auto idle = [](const std::string&, const std::string&) { return true; };
+    CHECK(moves.due_statuses(start + 1s, idle).empty());
+
+    moves.on_store_restored(1);
+    auto repeated = order;
+    repeated.version = mesh::row_version(1, 10);
+    moves.on_order(repeated, start + 2s);
+    CHECK(moves.running().empty());
+    CHECK(moves.choose("svc", start + 2s).only_new);
+    auto due = moves.due_statuses(start + 2s, idle);
+    REQUIRE(due.size() == 1);
+    CHECK(due[0].status.state == mesh::rollout_state::completed);
+
+    moves.on_status(status("running", mesh::row_version(1, 12))); // what the copy has
+    due = moves.due_statuses(start + 3s, idle);
+    REQUIRE(due.size() == 1);
+    CHECK(due[0].expected_version == mesh::row_version(1, 12));
+    CHECK(moves.choose("svc", start + 3s).only_new);
+
+    moves.on_status(status("completed", mesh::row_version(1, 30)));
+    CHECK(moves.due_statuses(start + 4s, idle).empty());
+}
--- a/tests/sidecar/store_stand_in.h
+++ b/tests/sidecar/store_stand_in.h
@@ -46,6 +46,24 @@
             reply(call, 200, rows);
         }
     }
+    struct copy {
+        std::map<std::pair<std::string, std::string>, mesh::store_row> rows;
+        std::uint64_t version = 0;
+    };
+    [[nodiscard]] copy make_copy() const { return {rows_, version_}; }
+    /// Comes back from an older copy: what was written since is lost, versions are assigned again. Open
+    /// watches get 410, or with `keep_watches` the changes after their versions in the new era.
+    void restore(const copy& from, bool keep_watches = false) {
+        rows_ = from.rows;
+        version_ = from.version;
+        ++era_;
+        if (keep_watches) {
+            return;
+        }
+        for (const auto& waiting : std::exchange(watches_, {})) {
+            reply(waiting.call, 410, json::object());
+        }
+    }
     [[nodiscard]] int calls() const { return calls_; }
     /// Number of watches received so far.
     [[nodiscard]] int watches() const { return watch_calls_; }
@@ -67,9 +85,10 @@
         return target.substr(start, target.find('&', start) - start);
     }
 
-    static void reply(const std::shared_ptr<exchange>& call, unsigned status, const json& body) {
+    void reply(const std::shared_ptr<exchange>& call, unsigned status, const json& body) const {
         http_message response;
         response.status = status;
+        response.headers.push_back({std::string{platform_wire::store_era_header}, std::to_string(era_)});
         response.body = body.dump();
         call->respond(std::move(response));
     }
@@ -114,8 +133,12 @@
         } else if (request.target.starts_with("/-/rows-feed")) {
             ++watch_calls_;
             const milliseconds wait{std::stoi(parameter(request.target, "WaitMs"))};
-            watches_.push_back(
-                {call, table, std::stoull(parameter(request.target, "after")), clock_.now() + wait});
+            const auto after = std::stoull(parameter(request.target, "after"));
+            if (after > version_) {
+                reply(call, 410, json::object());
+                return;
+            }
+            watches_.push_back({call, table, after, clock_.now() + wait});
             answer_watches();
         } else {
             transact(call, json::parse(request.body));
@@ -171,6 +194,7 @@
     boost::asio::steady_timer timer_;
     std::map<std::pair<std::string, std::string>, mesh::store_row> rows_;
     std::uint64_t version_ = 0;
+    std::uint32_t era_ = 0;
     std::vector<watch> watches_;
     std::map<std::string, int> reads_;
     std::string delayed_table_;
