Require an API key on routes that are not public

Cause: a configuration may have tenants, but requests were forwarded without a look at their keys: the endpoint got X-Key and any X-Tenant that the caller had made up. Change: the caller's daemon finds the tenant of the key, answers 401 without one, replaces X-Key and X-Tenant in every spelling, and sends a digest of the key, which the endpoint's daemon checks on arrival and when the request gets its slot. A refusal there has not run and costs no retry. The tenant's priority goes before the route's. Tenants that contradict each other leave the last good configuration in force. Without tenants nothing changes.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -668,8 +668,10 @@
     retired,     ///< the endpoint runs a version that has been replaced
     peer_silent, ///< the other daemon did not answer a ping; another endpoint was asked as well
     busy,        ///< no slot was free, and the request was not to wait for one
+    key_unknown, ///< the request has no API key, or one that no tenant holds
+    keys_stale,  ///< the daemon's knowledge of API keys may be outdated by more than is allowed
 };
-inline constexpr reason last_reason = reason::busy;
+inline constexpr reason last_reason = reason::keys_stale;
 [[nodiscard]] std::string_view to_string(reason value);
 
 // ---- rollouts ---------------------------------------------------------------------------------------------
--- /dev/null
+++ b/include/endive/tenants.h
@@ -0,0 +1,60 @@
+#pragma once
+/// Tenants library: the index of API keys. Pure logic: it reads no clock and opens no socket.
+
+#include "endive/mesh.h"
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace endive::tenants {
+
+/// A key of the index.
+struct key_match {
+    const mesh::tenant* tenant = nullptr; ///< that holds the key
+    std::uint64_t digest = 0;             ///< never 0
+    friend auto operator<=>(const key_match&, const key_match&) = default;
+};
+
+/// API keys of a configuration, indexed by key and by digest. A lookup takes constant work, and the time it
+/// takes tells nothing about the keys. Immutable; thread safe.
+///
+/// A digest identifies a key between daemons. It depends only on the key and on its tenant's name, so it is
+/// the same in every configuration that gives the key to that tenant, and daemons that have different
+/// versions in force agree on it.
+class key_index {
+public:
+    /// Precondition: `source` outlives the index and does not change. Throws `error` with
+    /// `platform_bad_answer` and the tenant as its location when two tenants have the same name or key, a key
+    /// is empty, or a name has control characters. No message contains a key.
+    explicit key_index(const mesh::configuration& source);
+
+    /// True when the configuration has tenants, so that requests need keys.
+    [[nodiscard]] bool has_tenants() const { return !tenants_.empty(); }
+    [[nodiscard]] std::size_t size() const { return entries_.size(); }
+    /// Bytes that the index takes in addition to the configuration.
+    [[nodiscard]] std::size_t memory_bytes() const;
+    /// Empty when no tenant holds the key.
+    [[nodiscard]] std::optional<key_match> find(std::string_view key) const;
+    /// Tenant that holds the key with this digest; null when there is none.
+    [[nodiscard]] const mesh::tenant* find_digest(std::uint64_t digest) const;
+
+private:
+    struct entry {
+        std::uint64_t hash = 0; ///< of the key, with a seed of this process
+        std::uint64_t digest = 0;
+        std::uint32_t tenant = 0; ///< index into the tenants
+        std::uint32_t key = 0;    ///< index into the tenant's keys
+    };
+    void insert(std::uint32_t tenant, std::uint32_t key);
+    [[nodiscard]] const entry* find_entry(std::string_view key, std::uint64_t hash) const;
+
+    const std::vector<mesh::tenant>& tenants_;
+    std::uint64_t seed_;
+    std::vector<entry> entries_;
+    /// Open addressing: positions in `entries_` plus 1, or 0 for a free place. The size is a power of two.
+    std::vector<std::uint32_t> by_hash_;
+    std::vector<std::uint32_t> by_digest_;
+};
+
+} // namespace endive::tenants
--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -43,6 +43,12 @@
                         "may run at both"},
         {"caller_left", "the caller closed its connection"},
         {"bad_request", "the request has no id"},
+        {"key_unknown",
+         "the request had no API key, or the daemon's configuration gave its key to no tenant; "
+         "a new key is in force 2.5 s after it was stored"},
+        {"keys_stale",
+         "the daemon could not prove that the key had not been revoked, as it had reached neither "
+         "the store nor a daemon that reaches it; see its keys_stale and store_lost lines"},
         {"memory", "the bodies that the daemon held took all the memory meant for them"},
     };
     for (const auto& known : causes) {
--- a/src/mesh/reason.cpp
+++ b/src/mesh/reason.cpp
@@ -46,6 +46,10 @@
         return "peer_silent";
     case reason::busy:
         return "busy";
+    case reason::key_unknown:
+        return "key_unknown";
+    case reason::keys_stale:
+        return "keys_stale";
     }
     return "none";
 }
--- a/src/sidecar/active_request.h
+++ b/src/sidecar/active_request.h
@@ -62,6 +62,8 @@
     const mesh::route* route = nullptr;
     std::string service;
     std::string request_id;
+    caller_identity caller_id;
+    std::uint32_t priority = 0; ///< of the tenant or else of the route
     header_list headers;
     time_point arrived;
     time_point deadline;
@@ -88,7 +90,7 @@
         retry_after = retry_after == duration{0} ? wait : std::min(retry_after, wait);
     }
     [[nodiscard]] mesh::admission_criteria admission(time_point now) const {
-        return {route->priority, route->latency_target, deadline - now, now - arrived + age};
+        return {priority, route->latency_target, deadline - now, now - arrived + age};
     }
     /// Attempts that count against the route's maximum.
     [[nodiscard]] std::size_t attempts_used() const { return sent + calls.size(); }
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -72,6 +72,10 @@
         refuse(item, not_starting_reason(), duration{0});
         return item->id;
     }
+    if (const auto why = key_refusal(*item); why != mesh::reason::none) {
+        refuse(item, why, duration{0});
+        return item->id;
+    }
     const auto target = now + item->call.latency_target - item->call.waited;
     apply(gate_.offer({item->id, item->call.priority, item->call.latency_target, target, item->deadline,
                        item->call.only_if_free},
@@ -98,14 +102,28 @@
     return retired_ ? mesh::reason::retired : mesh::reason::stopping;
 }
 
-void endpoint_service::apply(const std::vector<mesh::gate_action>& actions) {
-    for (const auto& action : actions) {
+mesh::reason endpoint_service::key_refusal(const job& item) const {
+    const auto& call = item.call;
+    const bool has_key = call.key_digest != 0 && check_key_;
+    return has_key ? check_key_(call.key_digest, call.tenant) : mesh::reason::none;
+}
+
+void endpoint_service::apply(std::vector<mesh::gate_action> actions) {
+    // A call that is refused instead of started makes room for others, whose actions are appended.
+    for (std::size_t next = 0; next < actions.size(); ++next) {
+        const auto action = actions[next];
         const auto found = jobs_.find(action.ticket);
         if (found == jobs_.end() || action.verdict == mesh::gate_verdict::queued) {
             continue;
         }
         const auto item = found->second;
         if (action.verdict == mesh::gate_verdict::start) {
+            if (const auto why = key_refusal(*item); why != mesh::reason::none) {
+                refuse(item, why, duration{0});
+                const auto more = gate_.finish(item->id, std::nullopt, clock_.now());
+                actions.insert(actions.end(), more.begin(), more.end());
+                continue;
+            }
             start(item);
         } else if (action.verdict == mesh::gate_verdict::busy) {
             refuse(item, mesh::reason::busy, duration{0});
--- a/src/sidecar/endpoint_service.h
+++ b/src/sidecar/endpoint_service.h
@@ -16,6 +16,11 @@
     /// `handler` is called whenever the endpoint's published state has changed.
     void on_change(std::function<void()> handler) { on_change_ = std::move(handler); }
 
+    using key_check = std::function<mesh::reason(std::uint64_t key_digest, std::string_view tenant)>;
+    /// `check` tells whether a call may start as far as its key is concerned: `none`, or why not. It is
+    /// called immediately before a call is sent to the endpoint, and on arrival.
+    void on_key_check(key_check check) { check_key_ = std::move(check); }
+
     std::uint64_t execute(call_message call, reply_handler done) override;
     void cancel(std::uint64_t id) override;
 
@@ -44,8 +49,9 @@
 
 private:
     struct job;
-    void apply(const std::vector<mesh::gate_action>& actions);
+    void apply(std::vector<mesh::gate_action> actions);
     void start(const std::shared_ptr<job>& item);
+    [[nodiscard]] mesh::reason key_refusal(const job& item) const;
     void on_result(const std::shared_ptr<job>& item, endpoint_result result);
     void reply(const std::shared_ptr<job>& item, reply_message message);
     void refuse(const std::shared_ptr<job>& item, mesh::reason why, duration retry_after);
@@ -65,6 +71,7 @@
     mesh::repeat_meter repeats_;
     endpoint_client client_;
     std::function<void()> on_change_;
+    key_check check_key_;
     std::uint64_t applied_revision_ = 0;
     std::string current_endpoint_;
     std::uint64_t next_id_ = 1;
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -54,8 +54,9 @@
 } // namespace
 
 forwarder::forwarder(const clock_source& clock, counter_set& counters, const sidecar_settings& settings,
-                     endpoint_service& local, peer_set& peers, rollouts& moves)
-    : clock_{clock}, counters_{counters}, settings_{settings}, local_{local}, peers_{peers}, moves_{moves} {
+                     endpoint_service& local, peer_set& peers, rollouts& moves, const authentication& keys)
+    : clock_{clock}, counters_{counters}, settings_{settings}, local_{local}, peers_{peers}, moves_{moves},
+      keys_{keys} {
     random_ ^= stable_hash(settings.name);
 }
 
@@ -98,6 +99,13 @@
     item->deadline = item->arrived + allowed;
     item->target = stable_hash(request.target, stable_hash(find_header(request.headers, "Host")));
     item->caller_deadline = item->arrived + remaining.value_or(default_timeout);
+    item->caller_id = keys_.identify(request.headers, *item->route);
+    if (refuse_by_key(item, item->caller_id.refusal)) {
+        return;
+    }
+    const auto* tenant = item->caller_id.tenant;
+    item->priority =
+        tenant == nullptr ? item->route->priority : tenant->priority.value_or(item->route->priority);
     if (remaining) {
         item->age = ages_.age(item->route->name, *remaining, item->arrived);
     }
@@ -116,6 +124,7 @@
     }
     item->service = item->route->parts[splits_.choose(*item->route)].service;
     item->headers = forwarded_headers(request.headers, settings_.service);
+    keys_.replace_headers(item->headers, item->caller_id);
     item->version = moves_.choose(item->service, clock_.now());
     // A request to another service may be a call by this VM's endpoint.
     retry_budget_for(item->service)
@@ -147,7 +156,11 @@
     call.remaining = std::chrono::duration_cast<milliseconds>(item.deadline - now);
     call.latency_target = item.route->latency_target;
     call.waited = std::chrono::duration_cast<milliseconds>(now - item.arrived + item.age);
-    call.priority = item.route->priority;
+    call.priority = item.priority;
+    if (item.caller_id.tenant != nullptr) {
+        call.tenant = item.caller_id.tenant->name;
+        call.key_digest = item.caller_id.key_digest;
+    }
     call.kind = item.route->kind;
     call.repeated = std::any_of(item.attempts.begin(), item.attempts.end(),
                                 [](const attempt_trace& attempt) { return attempt.may_have_arrived(); });
@@ -274,6 +287,12 @@
     if (item->has_responsive_call(now)) {
         return;
     }
+    // The key may have been revoked since the request arrived.
+    if (reply.why == mesh::reason::key_unknown && item->calls.empty() && item->sent == 0 &&
+        !keys_.holds(item->caller_id)) {
+        refuse_by_key(item, reply.why);
+        return;
+    }
     const bool reached_endpoint =
         reply.why == mesh::reason::endpoint_refused || reply.why == mesh::reason::wrong_endpoint;
     // A request refused by the endpoint itself did arrive there, so another attempt counts against the shared
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 // Forwards callers' requests: selects route and endpoint, makes the attempts and sends the final response.
 
+#include "sidecar/authentication.h"
 #include "sidecar/events.h"
 #include "sidecar/http_server.h"
 #include "sidecar/peer_set.h"
@@ -12,7 +13,7 @@
 class forwarder {
 public:
     forwarder(const clock_source& clock, counter_set& counters, const sidecar_settings& settings,
-              endpoint_service& local, peer_set& peers, rollouts& moves);
+              endpoint_service& local, peer_set& peers, rollouts& moves, const authentication& keys);
     void set_configuration(std::shared_ptr<const mesh::route_index> routes) { routes_ = std::move(routes); }
     /// The daemon stops at `stop` and ends its work at `end`. Requests with a later deadline are refused,
     /// except those that arrive shortly after `stop`.
@@ -43,6 +44,8 @@
     void on_reply(const std::shared_ptr<active_request>& item, std::size_t index, reply_message reply);
     void on_not_run(const std::shared_ptr<active_request>& item, std::size_t index,
                     const reply_message& reply);
+    /// Refuses a request whose key does not allow it; false when it may go on.
+    bool refuse_by_key(const std::shared_ptr<active_request>& item, mesh::reason why);
     /// Takes a retry from the budget; false when time, attempts or budget do not allow one.
     [[nodiscard]] bool take_retry(const active_request& item);
     [[nodiscard]] call_message make_call(const active_request& item, const mesh::member& about,
@@ -73,6 +76,7 @@
     endpoint_service& local_;
     peer_set& peers_;
     rollouts& moves_;
+    const authentication& keys_;
     std::shared_ptr<const mesh::route_index> routes_;
     mesh::split_chooser splits_;
     latency_histogram latency_;
--- a/src/sidecar/forwarder_answers.cpp
+++ b/src/sidecar/forwarder_answers.cpp
@@ -10,6 +10,8 @@
 /// request, the call and the frame.
 constexpr std::size_t body_memory_divisor = 6;
 
+constexpr unsigned status_unauthorized = 401;
+
 double to_ms(duration value) {
     return std::round(std::chrono::duration<double, std::milli>(value).count() * 10) / 10;
 }
@@ -69,6 +71,19 @@
     answer(item, std::move(response));
 }
 
+bool forwarder::refuse_by_key(const std::shared_ptr<active_request>& item, mesh::reason why) {
+    if (why == mesh::reason::none) {
+        return false;
+    }
+    if (why == mesh::reason::key_unknown) {
+        counters_.add("refused_unknown_key");
+        fail(item, status_unauthorized, why);
+    } else {
+        refuse(item, why, default_retry_after);
+    }
+    return true;
+}
+
 void forwarder::fail(const std::shared_ptr<active_request>& item, unsigned status, mesh::reason why) {
     counters_.add("failed_" + std::string{to_string(why)});
     log_outcome(event::request_failed, *item, status, why);
@@ -93,19 +108,23 @@
                             {"reason", to_string(attempt.why)},
                             {"ms", to_ms(attempt.elapsed)}});
     }
-    log(what, {{"request", item.request_id},
-               {"configuration", item.routes ? item.routes->source().version : 0},
-               {"route", item.route == nullptr ? std::string{} : item.route->name},
-               {"service", item.service},
-               {"age_ms", to_ms(item.age)},
-               {"refused_before", item.refused_before},
-               {"allowed_ms", item.route == nullptr ? 0.0 : to_ms(item.deadline - item.arrived)},
-               {"status", status},
-               {"reason", to_string(why)},
-               {"retry_after_ms", to_ms(item.retry_after)},
-               {"skipped_full", item.skipped_full},
-               {"attempts", std::move(attempts)},
-               {"ms", to_ms(clock_.now() - item.arrived)}});
+    json fields{{"request", item.request_id},
+                {"configuration", item.routes ? item.routes->source().version : 0},
+                {"route", item.route == nullptr ? std::string{} : item.route->name},
+                {"service", item.service},
+                {"age_ms", to_ms(item.age)},
+                {"refused_before", item.refused_before},
+                {"allowed_ms", item.route == nullptr ? 0.0 : to_ms(item.deadline - item.arrived)},
+                {"status", status},
+                {"reason", to_string(why)},
+                {"retry_after_ms", to_ms(item.retry_after)},
+                {"skipped_full", item.skipped_full},
+                {"attempts", std::move(attempts)},
+                {"ms", to_ms(clock_.now() - item.arrived)}};
+    if (item.caller_id.tenant != nullptr) {
+        fields["tenant"] = item.caller_id.tenant->name;
+    }
+    log(what, fields);
 }
 
 void forwarder::release(const std::shared_ptr<active_request>& item) {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -67,7 +67,7 @@
               [this](const std::string& daemon, bool reading) {
                   readers_.on_report(daemon, reading, clock_.now());
               }}},
-      forwarder_{clock, counters_, settings_, local_, peers_, rollouts_},
+      forwarder_{clock, counters_, settings_, local_, peers_, rollouts_, authentication_},
       callers_{loop, clock, settings_.callers_address,
                [this](const std::shared_ptr<exchange>& request) { forwarder_.handle(request); }},
       readiness_{loop, clock, settings_.readiness_address,
@@ -107,6 +107,9 @@
     self_.service = settings_.service;
     self_.link_mbps = settings_.link_mbps;
     local_.on_change([this] { publish_self(); });
+    local_.on_key_check([this](std::uint64_t digest, std::string_view tenant) {
+        return authentication_.check(digest, tenant);
+    });
 }
 
 sidecar::~sidecar() = default;
--- a/src/sidecar/sidecar_rows.cpp
+++ b/src/sidecar/sidecar_rows.cpp
@@ -85,7 +85,9 @@
         return;
     }
     const bool first = routes_ == nullptr;
-    routes_ = std::make_shared<const mesh::route_index>(std::move(decoded));
+    const auto routes = std::make_shared<const mesh::route_index>(std::move(decoded));
+    authentication_.set_configuration(routes); // throws when the tenants contradict each other
+    routes_ = routes;
     callers_.set_limits(routes_->source().limits);
     forwarder_.set_configuration(routes_);
     log(event::configuration_in_force, {{"configuration", routes_->source().version},
--- a/tests/platform_wire/wire_test.cpp
+++ b/tests/platform_wire/wire_test.cpp
@@ -179,3 +179,53 @@
         CHECK_FALSE(decode_deregister_start(body));
     }
 }
+
+TEST_CASE("tenants and public routes are decoded into the project's fields") {
+    auto text = configuration_text;
+    replace(text, R"("MaxAttempts":2)", R"("MaxAttempts":2,"Public":true)");
+    replace(
+        text, R"({"ResourceType":"Limits")",
+        R"({"ResourceType":"Tenants","Metadata":{"Name":"acme"},"Spec":{"ApiKeys":["k-1","k-2"],"Priority":3,
+               "RatePerS":12.5,"Burst":30}},
+               {"ResourceType":"Tenants","Metadata":{"Name":"bolt"},"Spec":{"ApiKeys":[]}},
+               {"ResourceType":"Limits")");
+    const auto result = decode_configuration(text);
+    CHECK(result.routes.at(0).is_public);
+    CHECK_FALSE(result.routes.at(1).is_public);
+    REQUIRE(result.tenants.size() == 2);
+    CHECK(result.tenants[0] == mesh::tenant{"acme", {"k-1", "k-2"}, 3, 12.5, 30});
+    CHECK(result.tenants[1] == mesh::tenant{"bolt", {}, std::nullopt, 0, 0});
+}
+
+// Guards against a key in an error text, which goes into the log, and against tenants that are taken half.
+TEST_CASE("malformed tenants and public routes are rejected with their location") {
+    const std::string good =
+        R"({"ResourceType":"Tenants","Metadata":{"Name":"acme"},"Spec":{"ApiKeys":["secret"],"Priority":3,"RatePerS":1,"Burst":2}},)";
+    const std::vector<std::pair<std::string, std::string>> mutations{
+        {R"("ApiKeys":["secret"],)", ""},
+        {R"(["secret"])", R"("secret")"},
+        {R"(["secret"])", R"(["secret",7])"},
+        {R"("Priority":3)", R"("Priority":-3)"},
+        {R"("Priority":3)", R"("Priority":"secret")"},
+        {R"("RatePerS":1)", R"("RatePerS":-1)"},
+        {R"("RatePerS":1)", R"("RatePerS":"secret")"},
+        {R"("Burst":2)", R"("Burst":true)"},
+        {R"("Metadata":{"Name":"acme"})", R"("Metadata":{})"},
+        {R"("MaxAttempts":2)", R"("MaxAttempts":2,"Public":"secret")"},
+        {R"("MaxAttempts":2)", R"("MaxAttempts":2,"Public":1)"}};
+    auto whole = configuration_text;
+    replace(whole, R"({"ResourceType":"Limits")", good + R"({"ResourceType":"Limits")");
+    REQUIRE(decode_configuration(whole).tenants.size() == 1);
+    for (const auto& [from, to] : mutations) {
+        auto text = whole;
+        replace(text, from, to);
+        INFO(to);
+        try {
+            (void)decode_configuration(text);
+            FAIL("accepted");
+        } catch (const error& cause) {
+            CHECK_FALSE(cause.location().empty());
+            CHECK((cause.what() + cause.location()).find("secret") == std::string::npos);
+        }
+    }
+}
--- a/tests/sidecar/vm.h
+++ b/tests/sidecar/vm.h
@@ -39,7 +39,7 @@
 struct vm {
     vm(boost::asio::io_context& loop, const clock_source& clock, const store_stand_in& store,
        const std::string& name, const std::string& service, std::int64_t memory_mb = 256,
-       bool first_start = false)
+       bool first_start = false, const std::function<void(sidecar_settings&)>& adjust = {})
         : endpoint_id{"i-" + name}, endpoint_address{free_address()},
           backend{loop, clock, endpoint_address,
                   [this](const std::shared_ptr<exchange>& call) { serve(call); }} {
@@ -55,6 +55,9 @@
         settings.store_address = store.address();
         settings.memory_mb = memory_mb;
         settings.first_start = first_start;
+        if (adjust) {
+            adjust(settings);
+        }
         daemon = std::make_unique<endive::sidecar::sidecar>(loop, clock, settings);
         daemon->start();
     }
@@ -79,6 +82,7 @@
             const auto id = std::string{find_header(request.headers, platform_wire::request_id_header)};
             expected_ids.push_back(
                 std::string{find_header(request.headers, platform_wire::expected_endpoint_header)});
+            seen.push_back(request.headers);
             callers.push_back(
                 std::string{find_header(request.headers, platform_wire::caller_service_header)});
             response.headers.push_back({std::string{platform_wire::request_id_header}, id});
@@ -121,6 +125,7 @@
     sidecar_settings settings;
     std::vector<std::string> expected_ids;
     std::vector<std::string> callers;
+    std::vector<header_list> seen; ///< headers of the requests that were served
     std::unique_ptr<endive::sidecar::sidecar> daemon;
 };
 
