Refuse requests with a key when a revocation may be unknown

Cause: a daemon that is cut off from the store, frozen, restarted or whose watch is silent went on serving keys that had been removed from the configuration. Change: with fail_closed each daemon keeps the age of its knowledge of the configuration row, counted from the sending of the read or watch that showed it, or of its ping to a daemon that reports its own age. The caller's and the endpoint's daemon refuse requests with a key as not run when the age exceeds revoke_time less 1 %, also those that waited for a slot. Daemons that do not read the store ask one daemon from an age of 1.45 s on. Real processes and a suspended VM were not tried.

--- a/include/endive/tenants.h
+++ b/include/endive/tenants.h
@@ -1,5 +1,6 @@
 #pragma once
-/// Tenants library: the index of API keys. Pure logic: it reads no clock and opens no socket.
+/// Tenants library: the index of API keys and the age of this daemon's knowledge of them. Pure logic: it
+/// reads no clock and opens no socket.
 
 #include "endive/mesh.h"
 
@@ -57,4 +58,45 @@
     std::vector<std::uint32_t> by_digest_;
 };
 
+// ---- age of the knowledge ---------------------------------------------------------------------------------
+
+/// Shows that no configuration row newer than `version` existed at `since`.
+struct currency_proof {
+    std::uint64_t version = 0;
+    time_point since{};
+    friend auto operator<=>(const currency_proof&, const currency_proof&) = default;
+};
+
+/// Tells how old a daemon's knowledge of the API keys is, so that it stops using keys before the time in
+/// which a revocation has to bind is over. A revocation that is acknowledged after `since` of the youngest
+/// proof binds requests that are sent later than `since` plus that time, and no earlier one exists that the
+/// daemon does not know. All time points are of one clock that counts suspension. A new object, as after a
+/// restart, has no proof. Not thread safe.
+class key_freshness {
+public:
+    /// `revoke_time` is the time from the acknowledgement of a revocation until it binds.
+    explicit key_freshness(duration revoke_time);
+    /// This daemon holds this version of the configuration row.
+    void on_row(std::uint64_t version);
+    /// A read of the store that this daemon sent at `sent` shows that `version` was the newest one then.
+    void accept_read(time_point sent, std::uint64_t version) { accept({version, sent}); }
+    /// Another daemon, in its answer to what was sent to it at `sent`, reports a proof of this age.
+    void accept_answer(time_point sent, duration reported_age, std::uint64_t version);
+    /// The youngest proof that counts for the row which this daemon holds; empty without one.
+    [[nodiscard]] const std::optional<currency_proof>& proof() const { return proof_; }
+    [[nodiscard]] std::optional<duration> age(time_point now) const;
+    /// True while a request with a key that this daemon knows may be run.
+    [[nodiscard]] bool is_current(time_point now) const;
+    /// The age up to which the knowledge is current.
+    [[nodiscard]] duration limit() const { return limit_; }
+
+private:
+    void accept(const currency_proof& offered);
+
+    duration limit_;
+    std::uint64_t held_ = 0;
+    std::optional<currency_proof> proof_;
+    std::optional<currency_proof> early_; ///< names a newer row than this daemon holds so far
+};
+
 } // namespace endive::tenants
--- a/src/sidecar/authentication.cpp
+++ b/src/sidecar/authentication.cpp
@@ -49,13 +49,14 @@
         return result;
     }
     const auto key = api_key_of(headers);
-    const auto found = key.empty() ? std::nullopt : keys_->find(key);
+    const bool usable = !key.empty() && proofs_.is_current();
+    const auto found = usable ? keys_->find(key) : std::nullopt;
     if (found) {
         result.tenant = found->tenant;
         // A public route needs no key, so the endpoint's daemon has nothing to check.
         result.key_digest = route.is_public ? 0 : found->digest;
     } else if (!route.is_public) {
-        result.refusal = mesh::reason::key_unknown;
+        result.refusal = key.empty() || usable ? mesh::reason::key_unknown : mesh::reason::keys_stale;
     }
     return result;
 }
@@ -80,6 +81,9 @@
     if (!keys_) {
         return mesh::reason::no_configuration;
     }
+    if (!proofs_.is_current()) {
+        return mesh::reason::keys_stale;
+    }
     if (!has_tenants()) {
         return mesh::reason::none;
     }
--- a/src/sidecar/authentication.h
+++ b/src/sidecar/authentication.h
@@ -1,7 +1,7 @@
 #pragma once
 // Tells the tenant of a request by its API key, on the caller side and again on the endpoint side.
 
-#include "sidecar/http_message.h"
+#include "sidecar/key_proofs.h"
 
 #include "endive/tenants.h"
 
@@ -19,13 +19,15 @@
 /// Not thread safe.
 class authentication {
 public:
+    explicit authentication(const key_proofs& proofs) : proofs_{proofs} {}
     /// Throws `error` with `platform_bad_answer` when the tenants of the configuration contradict each other;
     /// the earlier configuration then stays in force. Precondition: `routes` is not null.
     void set_configuration(std::shared_ptr<const mesh::route_index> routes);
     /// True when the configuration has tenants, so that requests need keys.
     [[nodiscard]] bool has_tenants() const { return keys_ && keys_->has_tenants(); }
     /// Identifies the caller of a request on `route` of the configuration in force. On a public route no
-    /// request is refused.
+    /// request is refused. With outdated knowledge nothing is said about a key: neither that it is unknown
+    /// nor whose it is.
     [[nodiscard]] caller_identity identify(const header_list& headers, const mesh::route& route) const;
     /// Replaces the headers that name the tenant or hold a key, in any spelling that an endpoint may take for
     /// them. Changes nothing when the configuration has no tenants.
@@ -38,6 +40,7 @@
 private:
     [[nodiscard]] bool is_held(std::uint64_t key_digest, std::string_view tenant) const;
 
+    const key_proofs& proofs_;
     std::shared_ptr<const mesh::route_index> routes_; ///< that `keys_` refers to
     std::unique_ptr<const tenants::key_index> keys_;
 };
--- a/src/sidecar/events.cpp
+++ b/src/sidecar/events.cpp
@@ -40,6 +40,8 @@
     event_entry{configuration_in_force, "configuration_in_force", info, lifecycle},
     event_entry{configuration_not_newer, "configuration_not_newer", warning, lifecycle},
     event_entry{configuration_removed, "configuration_removed", warning, lifecycle},
+    event_entry{keys_stale, "keys_stale", warning, lifecycle},
+    event_entry{keys_current, "keys_current", info, lifecycle},
     event_entry{row_malformed, "row_malformed", warning, lifecycle},
     event_entry{move_ordered, "move_ordered", info, lifecycle},
     event_entry{move_status, "move_status", info, lifecycle},
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -38,6 +38,8 @@
     configuration_in_force,
     configuration_not_newer,
     configuration_removed,
+    keys_stale,
+    keys_current,
     row_malformed,
     move_ordered,
     move_status,
--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -179,8 +179,12 @@
         events_.on_announce(self, std::move(*announced));
     } else if (const auto* fetch = std::get_if<fetch_message>(&message)) {
         events_.on_fetch(self, *fetch);
-    } else if (const auto* ping = std::get_if<ping_message>(&message); ping != nullptr && !ping->answer) {
-        send(ping_message{ping->id, true});
+    } else if (const auto* ping = std::get_if<ping_message>(&message)) {
+        if (ping->answer) {
+            events_.on_ping_answer(self, *ping);
+        } else {
+            send(ping_message{ping->id, true, events_.own_proof()});
+        }
     }
 }
 
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -44,6 +44,9 @@
         std::function<mesh::missing_rows::store_timeouts()> store_timeouts;
         /// A daemon in the same failure domain reports whether its reads of the store succeed.
         std::function<void(const std::string& daemon, bool reading)> reading;
+        std::function<void(const std::string& daemon, const ping_message& answer)> ping_answer;
+        /// What this daemon answers to pings.
+        std::function<std::optional<key_proof>()> own_proof;
     };
     peer_set(boost::asio::io_context& loop, const clock_source& clock, const sidecar_settings& settings,
              counter_set& counters, endpoint_service& local, const mesh::row_replica& rows,
@@ -97,6 +100,10 @@
     void on_unverified(const std::shared_ptr<peer_link>& link) override;
     void on_retired(const std::shared_ptr<peer_link>& link) override;
     void on_down(const std::shared_ptr<peer_link>& link) override;
+    void on_ping_answer(const std::shared_ptr<peer_link>& link, const ping_message& answer) override {
+        callbacks_.ping_answer(link->daemon(), answer);
+    }
+    [[nodiscard]] std::optional<key_proof> own_proof() const override { return callbacks_.own_proof(); }
 
 private:
     void dial(peer& entry);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -45,8 +45,8 @@
 } // namespace
 
 sidecar::sidecar(boost::asio::io_context& loop, const clock_source& clock, sidecar_settings settings)
-    : loop_{loop}, clock_{clock}, settings_{std::move(settings)}, local_{loop, clock, counters_, settings_},
-      rollouts_{settings_},
+    : loop_{loop}, clock_{clock}, settings_{std::move(settings)}, key_proofs_{clock, counters_, settings_},
+      authentication_{key_proofs_}, local_{loop, clock, counters_, settings_}, rollouts_{settings_},
       peers_{loop,
              clock,
              settings_,
@@ -66,7 +66,12 @@
               [this] { return row_heads(); }, [this] { return store_timeouts(); },
               [this](const std::string& daemon, bool reading) {
                   readers_.on_report(daemon, reading, clock_.now());
-              }}},
+                  key_proofs_.on_reading(daemon, reading);
+              },
+              [this](const std::string& daemon, const ping_message& answer) {
+                  key_proofs_.on_ping_answer(daemon, answer);
+              },
+              [this] { return key_proofs_.own_proof(); }}},
       forwarder_{clock, counters_, settings_, local_, peers_, rollouts_, authentication_},
       callers_{loop, clock, settings_.callers_address,
                [this](const std::shared_ptr<exchange>& request) { forwarder_.handle(request); }},
@@ -107,6 +112,11 @@
     self_.service = settings_.service;
     self_.link_mbps = settings_.link_mbps;
     local_.on_change([this] { publish_self(); });
+    if (settings_.fail_closed) {
+        operator_rows_.prove(
+            std::string{platform_wire::configuration_key},
+            [this](time_point sent, std::uint64_t version) { key_proofs_.on_store_read(sent, version); });
+    }
     local_.on_key_check([this](std::uint64_t digest, std::string_view tenant) {
         return authentication_.check(digest, tenant);
     });
@@ -214,6 +224,9 @@
     out << "endive_link_use " << link_meter_.use() << "\n";
     out << "endive_peer_links " << peers_.link_count() << "\n";
     out << "endive_peer_connections " << peers_.connection_count() << "\n";
+    if (const auto age = key_proofs_.age()) {
+        out << "endive_key_age_seconds " << std::chrono::duration<double>(*age).count() << "\n";
+    }
     for (const double quantile : {0.5, 0.9, 0.99}) {
         out << "endive_request_seconds{quantile=\"" << quantile << "\"} "
             << std::chrono::duration<double>(forwarder_.latency().quantile(quantile)).count() << "\n";
@@ -267,6 +280,7 @@
         select_readers(now);
     }
     peers_.tick(now);
+    key_proofs_.tick(peers_, authentication_.has_tenants());
     callers_.sweep(now);
     readiness_.sweep(now);
     announcements_.sweep(now);
@@ -326,6 +340,7 @@
                          {"outstanding", local_.load().outstanding},
                          {"accepted_connections", callers_.accepted_connections()},
                          {"link_use", link_meter_.use()},
+                         {"key_age_ms", key_proofs_.age_ms()},
                          {"longest_loop_delay_ms", std::chrono::duration_cast<milliseconds>(
                                                        std::exchange(longest_loop_delay_, duration{0}))
                                                        .count()}});
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -75,6 +75,7 @@
     mesh::row_replica rows_;
     mesh::row_changes row_changes_;
     mesh::reader_selection readers_;
+    key_proofs key_proofs_;
     authentication authentication_;
     endpoint_service local_;
     rollouts rollouts_;
--- a/src/sidecar/sidecar_rows.cpp
+++ b/src/sidecar/sidecar_rows.cpp
@@ -58,6 +58,7 @@
 
 void sidecar::on_operator_row(const mesh::store_row& row) {
     if (row.key == platform_wire::configuration_key) {
+        key_proofs_.on_row(row.version);
         on_configuration(row);
     } else if (row.key.starts_with(platform_wire::rollout_prefix)) {
         rollouts_.on_order(row, clock_.now());
--- a/src/sidecar/store_client.cpp
+++ b/src/sidecar/store_client.cpp
@@ -28,7 +28,7 @@
 constexpr duration max_tick_gap = milliseconds{500};
 /// Delay of the next watch after a change. Changes in quick succession are received with one call, and each
 /// is active well within the limit of two seconds.
-constexpr duration pause_after_change = milliseconds{400};
+constexpr milliseconds pause_after_change{400};
 /// Time in which the first bytes of an answer that the store already has arrive, or its next bytes.
 constexpr duration answer_timeout = milliseconds{300};
 constexpr duration min_retry_delay = milliseconds{150};
@@ -153,7 +153,7 @@
         return;
     }
     auto response = std::move(reader_->message());
-    finish({response.status, std::move(response.body), {}, 0}, response.keep_alive && input_.empty());
+    finish({response.status, std::move(response.body), {}, 0, {}}, response.keep_alive && input_.empty());
 }
 
 void store_connection::finish(store_answer answer, bool reusable) {
@@ -161,6 +161,7 @@
     idle_since_ = clock_.now();
     answer.waited = idle_since_ - started_;
     answer.received_bytes = received_bytes_;
+    answer.sent = started_;
     auto done = std::move(current_->done);
     current_.reset();
     if (!reusable && connection_) {
@@ -194,7 +195,7 @@
     if (version_ == 0) {
         read({});
     } else {
-        watch();
+        watch(watch_wait);
     }
 }
 
@@ -265,14 +266,10 @@
                              // since then.
                              if (!first_page_version_) {
                                  first_page_version_ = page.version;
+                                 read_sent_ = answer.sent;
+                                 proven_version_ = 0;
                              }
-                             on_rows_(page.rows);
-                             if (page.has_more && !page.rows.empty()) {
-                                 read(page.rows.back().key + '\x01');
-                                 return;
-                             }
-                             version_ = *std::exchange(first_page_version_, std::nullopt);
-                             watch();
+                             continue_reading(page);
                          } catch (const std::exception& cause) {
                              log_malformed_answer(table_, cause);
                              retry("read", answer, [this, from] { read(from); });
@@ -280,13 +277,39 @@
                      });
 }
 
+void table_follower::continue_reading(const platform_wire::rows_page& page) {
+    record_proven_row(page.rows);
+    on_rows_(page.rows);
+    if (page.has_more && !page.rows.empty()) {
+        read(page.rows.back().key + '\x01');
+        return;
+    }
+    version_ = *std::exchange(first_page_version_, std::nullopt);
+    report_current(read_sent_);
+    watch(watch_wait);
+}
+
+void table_follower::record_proven_row(const std::vector<mesh::store_row>& rows) {
+    for (const auto& row : rows) {
+        if (row.key == proven_key_) {
+            proven_version_ = row.removed ? 0 : row.version;
+        }
+    }
+}
+
+void table_follower::report_current(time_point sent) {
+    if (on_current_ && proven_version_ != 0) {
+        on_current_(sent, proven_version_);
+    }
+}
+
 bool table_follower::is_delivering() const {
     return pausing_ || clock_.now() - connection_.last_progress() < answer_timeout;
 }
 
-void table_follower::watch() {
+void table_follower::watch(milliseconds wait) {
     counters_.add("store_watches");
-    const auto wait = healthy_ == false ? probe_wait : watch_wait;
+    wait = healthy_ == false ? probe_wait : wait;
     connection_.call(platform_wire::watch_rows(table_, version_, wait),
                      call_timeouts{wait + watch_slack, watch_stall_timeout, watch_total_timeout},
                      [this](const store_answer& answer) {
@@ -299,19 +322,13 @@
                              return;
                          }
                          if (answer.status != status_ok) {
-                             retry("watch", answer, [this] { watch(); });
+                             retry("watch", answer, [this] { watch(watch_wait); });
                              return;
                          }
                          try {
                              const auto page = platform_wire::decode_rows(answer.body);
                              set_available();
-                             version_ = std::max(version_, page.version);
-                             if (page.rows.empty()) {
-                                 watch();
-                                 return;
-                             }
-                             on_rows_(page.rows);
-                             schedule(pause_after_change, [this] { watch(); });
+                             continue_watching(page, answer.sent);
                          } catch (const std::exception& cause) {
                              log_malformed_answer(table_, cause);
                              retry("watch", answer, [this] { read({}); });
@@ -319,4 +336,21 @@
                      });
 }
 
+void table_follower::continue_watching(const platform_wire::rows_page& page, time_point sent) {
+    version_ = std::max(version_, page.version);
+    record_proven_row(page.rows);
+    if (!page.rows.empty()) {
+        on_rows_(page.rows);
+    }
+    if (!page.has_more) {
+        report_current(sent);
+    }
+    if (page.rows.empty()) {
+        watch(watch_wait);
+        return;
+    }
+    const auto next_wait = on_current_ ? watch_wait - pause_after_change : watch_wait;
+    schedule(pause_after_change, [this, next_wait] { watch(next_wait); });
+}
+
 } // namespace endive::sidecar
--- a/src/sidecar/store_client.h
+++ b/src/sidecar/store_client.h
@@ -15,6 +15,7 @@
     std::string body;
     duration waited{0};             ///< since the call was sent or its connection was opened
     std::size_t received_bytes = 0; ///< of the response, which may be incomplete
+    time_point sent{};              ///< no later than the call was sent
 };
 using store_callback = std::function<void(store_answer)>;
 
@@ -86,6 +87,13 @@
                    std::string_view store, std::string table,
                    std::function<void(const std::vector<mesh::store_row>&)> on_rows,
                    std::function<void(bool)> on_health);
+    /// `on_current` is called after an answer has shown that `version` was the newest version of the row with
+    /// this key when the read or watch was sent, at `sent`. An answer that shows no such row proves nothing.
+    /// Watches after a change are then shorter, so that this is shown equally often.
+    void prove(std::string key, std::function<void(time_point sent, std::uint64_t version)> on_current) {
+        proven_key_ = std::move(key);
+        on_current_ = std::move(on_current);
+    }
     /// Begins to follow the table, or continues where it stopped.
     void start();
     /// Ends the open call; nothing is delivered until the next start.
@@ -100,7 +108,11 @@
 
 private:
     void read(const std::string& from);
-    void watch();
+    void watch(milliseconds wait);
+    void continue_reading(const platform_wire::rows_page& page);
+    void continue_watching(const platform_wire::rows_page& page, time_point sent);
+    void record_proven_row(const std::vector<mesh::store_row>& rows);
+    void report_current(time_point sent);
     void retry(std::string_view call, const store_answer& answer, std::function<void()> step);
     void schedule(duration pause, std::function<void()> step);
     void set_available();
@@ -117,6 +129,11 @@
     bool active_ = false;
     std::uint64_t starts_ = 0; ///< tells a timer of an earlier start from the current one
     std::optional<std::uint64_t> first_page_version_;
+    time_point read_sent_{}; ///< of the first page
+    std::string proven_key_;
+    std::function<void(time_point, std::uint64_t)> on_current_;
+    /// Version of the row with that key as this follower has read it; 0 without one.
+    std::uint64_t proven_version_ = 0;
     duration retry_delay_{0};
     bool pausing_ = false;
     std::optional<bool> healthy_; ///< empty before the first answer since the start
