Show the age of API keys among a daemon's beliefs

Change: endivectl beliefs and explain print the last keys_stale or keys_current line of each daemon involved. Measured: compiled only; test_ctl was not run.

--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -140,6 +140,7 @@
     print_last(out, lines, daemon, time, {"started", "stopping", "stopped"});
     print_last(out, lines, daemon, time, {"store_lost", "store_regained"});
     print_last(out, lines, daemon, time, {"configuration_in_force"});
+    print_last(out, lines, daemon, time, {"keys_stale", "keys_current"});
     print_last(out, lines, daemon, time,
                {"endpoint_changed", "endpoint_unreachable", "endpoint_silent", "endpoint_deregistered"});
     print_last(out, lines, daemon, time, {"move_ordered", "move_share", "move_status", "move_version_bad"});
