--- a/include/endive/tenants.h
+++ b/include/endive/tenants.h
@@ -44,10 +44,11 @@
     struct entry {
         std::uint64_t hash = 0; ///< of the key, with a seed of this process
         std::uint64_t digest = 0;
+        const char* key = nullptr; ///< in the configuration
+        std::uint32_t length = 0;
         std::uint32_t tenant = 0; ///< index into the tenants
-        std::uint32_t key = 0;    ///< index into the tenant's keys
     };
-    void insert(std::uint32_t tenant, std::uint32_t key);
+    void insert(std::uint32_t tenant, const std::string& key);
     [[nodiscard]] const entry* find_entry(std::string_view key, std::uint64_t hash) const;
 
     const std::vector<mesh::tenant>& tenants_;
--- a/src/tenants/key_index.cpp
+++ b/src/tenants/key_index.cpp
@@ -91,27 +91,27 @@
     by_digest_.resize(places);
     entries_.reserve(count);
     for (std::uint32_t tenant = 0; tenant < tenants_.size(); ++tenant) {
-        for (std::uint32_t key = 0; key < tenants_[tenant].api_keys.size(); ++key) {
+        for (const auto& key : tenants_[tenant].api_keys) {
             insert(tenant, key);
         }
     }
 }
 
-void key_index::insert(std::uint32_t tenant, std::uint32_t key) {
+void key_index::insert(std::uint32_t tenant, const std::string& key) {
     const auto& holder = tenants_[tenant];
-    const auto& text = holder.api_keys[key];
-    if (text.empty()) {
+    if (key.empty()) {
         fail(holder, "a key is empty");
     }
-    const auto hash = XXH3_64bits_withSeed(text.data(), text.size(), seed_);
-    if (const auto* known = find_entry(text, hash)) {
+    const auto hash = XXH3_64bits_withSeed(key.data(), key.size(), seed_);
+    if (const auto* known = find_entry(key, hash)) {
         if (known->tenant != tenant) {
             fail(holder, "another tenant holds one of the keys");
         }
         return;
     }
     const auto position = static_cast<std::uint32_t>(entries_.size());
-    entries_.push_back({hash, digest_of(holder.name, text), tenant, key});
+    entries_.push_back(
+        {hash, digest_of(holder.name, key), key.data(), static_cast<std::uint32_t>(key.size()), tenant});
     place(by_hash_, hash, position);
     place(by_digest_, entries_.back().digest, position);
 }
@@ -120,7 +120,7 @@
     const auto mask = by_hash_.size() - 1;
     for (auto at = hash & mask; by_hash_[at] != 0; at = (at + 1) & mask) {
         const auto& found = entries_[by_hash_[at] - 1];
-        if (found.hash == hash && equal_in_constant_time(tenants_[found.tenant].api_keys[found.key], key)) {
+        if (found.hash == hash && equal_in_constant_time({found.key, found.length}, key)) {
             return &found;
         }
     }
