--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -43,6 +43,12 @@
                         "may run at both"},
         {"caller_left", "the caller closed its connection"},
         {"bad_request", "the request has no id"},
+        {"key_unknown",
+         "the request had no API key, or the daemon's configuration gave its key to no tenant; "
+         "a new key is in force 2.5 s after it was stored"},
+        {"keys_stale",
+         "the daemon could not prove that the key had not been revoked, as it had reached neither "
+         "the store nor a daemon that reaches it; see its keys_stale and store_lost lines"},
         {"memory", "the bodies that the daemon held took all the memory meant for them"},
     };
     for (const auto& known : causes) {
@@ -134,6 +140,7 @@
     print_last(out, lines, daemon, time, {"started", "stopping", "stopped"});
     print_last(out, lines, daemon, time, {"store_lost", "store_regained"});
     print_last(out, lines, daemon, time, {"configuration_in_force"});
+    print_last(out, lines, daemon, time, {"keys_stale", "keys_current"});
     print_last(out, lines, daemon, time,
                {"endpoint_changed", "endpoint_unreachable", "endpoint_silent", "endpoint_deregistered"});
     print_last(out, lines, daemon, time, {"move_ordered", "move_share", "move_status", "move_version_bad"});
--- a/src/sidecar/sidecar_rows.cpp
+++ b/src/sidecar/sidecar_rows.cpp
@@ -81,6 +81,7 @@
 
 void sidecar::on_operator_row(const mesh::store_row& row) {
     if (row.key == platform_wire::configuration_key) {
+        key_proofs_.on_row(row.version);
         on_configuration(row);
     } else if (row.key.starts_with(platform_wire::rollout_prefix)) {
         rollouts_.on_order(row, clock_.now());
@@ -108,7 +109,9 @@
         return;
     }
     const bool first = routes_ == nullptr;
-    routes_ = std::make_shared<const mesh::route_index>(std::move(decoded));
+    const auto routes = std::make_shared<const mesh::route_index>(std::move(decoded));
+    authentication_.set_configuration(routes); // throws when the tenants contradict each other
+    routes_ = routes;
     callers_.set_limits(routes_->source().limits);
     forwarder_.set_configuration(routes_);
     log(event::configuration_in_force, {{"configuration", routes_->source().version},
