Take the third figure of the load header for the slots

Cause: the last figure of the load header was taken for the number of slots. On services that add the pace of the VM as a fourth figure, that was the pace. Change: platform/ decodes the header into running, waiting, slots and an optional pace; a malformed header counts as absent. Callers saw: a daemon that had restarted sent up to 100 requests at once, or 250 on a slow VM, until the next heartbeat, and the endpoint never answered those beyond its slots.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -368,6 +368,15 @@
 /// Assumed service time of an endpoint before its first response, as a multiple of the latency target.
 inline constexpr double initial_slowness = 0.35;
 
+/// What an endpoint tells about its own load with a response.
+struct endpoint_load_report {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 1;
+    std::optional<double> pace; ///< how long work takes now, relative to the usual; some endpoints omit it
+    friend auto operator<=>(const endpoint_load_report&, const endpoint_load_report&) = default;
+};
+
 /// Load of an endpoint as reported by its own daemon.
 struct endpoint_load {
     std::uint32_t outstanding = 0; ///< requests running at the endpoint or queued for it
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -5,7 +5,6 @@
 #include "platform/wire.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace endive::sidecar {
 namespace {
@@ -23,18 +22,6 @@
 /// times its content, and a complete response is copied into its frame.
 constexpr std::size_t response_memory_divisor = 8;
 
-/// Parses the number of slots from a load header: running requests, waiting requests and slots, separated by
-/// commas.
-std::optional<std::uint32_t> parse_slots(std::string_view load) {
-    const auto comma = load.rfind(',');
-    std::uint32_t slots = 0;
-    if (comma == std::string_view::npos ||
-        std::from_chars(load.data() + comma + 1, load.data() + load.size(), slots).ec != std::errc{}) {
-        return std::nullopt;
-    }
-    return slots;
-}
-
 } // namespace
 
 struct endpoint_service::job {
@@ -348,8 +335,10 @@
         if (!platform_wire::is_endpoint_id(id)) {
             return;
         }
-        const auto slots = parse_slots(find_header(result.response.headers, platform_wire::load_header));
-        update([&](mesh::endpoint_tracker& tracker) { tracker.on_health(id, healthy, slots.value_or(1)); });
+        const auto report = platform_wire::decode_load_report(
+            find_header(result.response.headers, platform_wire::load_header));
+        const auto slots = report ? report->slots : 1;
+        update([&](mesh::endpoint_tracker& tracker) { tracker.on_health(id, healthy, slots); });
     };
     const auto id = client_.send(std::move(request), {}, on_response, max_probe_body_bytes);
     probe_ = health_check{id, clock_.now() + probe_timeout};
--- a/tests/platform_wire/wire_test.cpp
+++ b/tests/platform_wire/wire_test.cpp
@@ -45,6 +45,23 @@
     CHECK(index.find("b.example", "/x/") == nullptr);
 }
 
+// Guards against a pace that is taken for the slots: a restarted daemon sent up to 100 requests at once.
+TEST_CASE("the load of an endpoint is decoded with and without its pace") {
+    using report = mesh::endpoint_load_report;
+    CHECK(decode_load_report("3,1,12") == report{3, 1, 12, std::nullopt});
+    CHECK(decode_load_report("3,1,12,250") == report{3, 1, 12, 2.5});
+    CHECK(decode_load_report(" 3, 1, 12, 60 ") == report{3, 1, 12, 0.6});
+    CHECK(decode_load_report("3,1,12,100,7") == report{3, 1, 12, 1.0});
+    for (const std::string pace : {"", "x", "0", "-1", "99999999999"}) {
+        CHECK(decode_load_report("3,1,12," + pace) == report{3, 1, 12, std::nullopt});
+    }
+    for (const auto* text :
+         {"", "3", "3,1", "3,1,", "3,1,0", "x,1,12", "3,,12", "3,1,99999999999", "3 1 12"}) {
+        INFO(text);
+        CHECK_FALSE(decode_load_report(text));
+    }
+}
+
 TEST_CASE("a malformed configuration is rejected with an error") {
     const std::vector<std::pair<std::string, std::string>> mutations{
         {"\"r7\"", "\"7\""},
--- a/tests/sidecar/vm.h
+++ b/tests/sidecar/vm.h
@@ -65,7 +65,7 @@
         const auto& request = call->request();
         if (request.target == "/health") {
             response.headers.push_back({std::string{platform_wire::endpoint_id_header}, endpoint_id});
-            response.headers.push_back({std::string{platform_wire::load_header}, "0,0,4"});
+            response.headers.push_back({std::string{platform_wire::load_header}, load_report});
         } else if (holding) {
             held.push_back(call);
             return;
@@ -110,10 +110,11 @@
         }
     }
 
-    std::string version = "v1"; ///< of the backend server, told by its heartbeats
-    std::size_t padding = 0;    ///< bytes added to the bodies of responses
-    bool holding = false;       ///< requests are kept open until `release`
-    bool refusing = false;      ///< requests are refused as not executed
+    std::string load_report = "0,0,4"; ///< of the health checks
+    std::string version = "v1";        ///< of the backend server, told by its heartbeats
+    std::size_t padding = 0;           ///< bytes added to the bodies of responses
+    bool holding = false;              ///< requests are kept open until `release`
+    bool refusing = false;             ///< requests are refused as not executed
     std::vector<std::shared_ptr<exchange>> held;
     std::string endpoint_id;
     std::string endpoint_address;
