End requests that reached no endpoint in 503 at their deadline

Cause: at a request's deadline and at the end of a stop the daemon beside the caller answered 504 or 502 without asking whether the request had been sent anywhere. A request that waited in the queue of another daemon was refused there at the same moment, so the refusal came too late; one that waited for a connection to the endpoint was reported as timed out. Change: cancelling a call tells whether it certainly has not reached an endpoint. The daemon beside the endpoint refuses what it has not sent to the endpoint 45 ms before its deadline (at most half of the time that it was given), and such a refusal ends the request. A retry delay that no endpoint told is at most a third of the caller's time. A call that was sent and not answered may be running and keeps 502 or 504. Callers saw: 502 or 504, after which requests that may run only once are not repeated.

--- a/src/sidecar/active_request.h
+++ b/src/sidecar/active_request.h
@@ -10,6 +10,8 @@
 
 /// A daemon that has just started or lost its endpoints usually has a current view after this time.
 inline constexpr duration default_retry_after = milliseconds{300};
+/// Shorter waits change nothing: the load of an endpoint does not change sooner.
+inline constexpr duration min_retry_after = milliseconds{40};
 /// Failures added to a daemon that is silent or shutting down, so that it is used only when no other is
 /// available.
 inline constexpr std::uint32_t suspect_failures = 6;
@@ -90,6 +92,16 @@
     [[nodiscard]] mesh::admission_criteria admission(time_point now) const {
         return {route->priority, route->latency_target, deadline - now, now - arrived + age};
     }
+    /// Retry delay when no endpoint has told one: the caller returns only within a third of its time.
+    [[nodiscard]] duration retry_delay_guess(time_point now) const {
+        return std::clamp<duration>((caller_deadline - now) / 3, min_retry_after, default_retry_after);
+    }
+    /// False when every attempt is known not to have run.
+    [[nodiscard]] bool may_have_run() const {
+        return std::any_of(attempts.begin(), attempts.end(), [](const attempt_trace& attempt) {
+            return attempt.outcome != outcome_name(mesh::attempt_outcome::not_run);
+        });
+    }
     /// Attempts that count against the route's maximum.
     [[nodiscard]] std::size_t attempts_used() const { return sent + calls.size(); }
     /// True when an attempt is open on a link that is not suspect.
--- a/src/sidecar/call_target.h
+++ b/src/sidecar/call_target.h
@@ -19,8 +19,9 @@
     /// Calls `done` exactly once unless `cancel` is called first, possibly before `execute` returns. Returns
     /// an id for `cancel`.
     virtual std::uint64_t execute(call_message call, reply_handler done) = 0;
-    /// Cancels a call whose caller has disconnected. No effect once the call is done.
-    virtual void cancel(std::uint64_t id) = 0;
+    /// Cancels a call. No effect once the call is done. Returns true when the call is known not to have
+    /// reached an endpoint; it never will.
+    virtual bool cancel(std::uint64_t id) = 0;
 };
 
 } // namespace endive::sidecar
--- a/src/sidecar/endpoint_client.cpp
+++ b/src/sidecar/endpoint_client.cpp
@@ -251,20 +251,27 @@
     }
 }
 
-void endpoint_client::cancel(std::uint64_t id) {
+bool endpoint_client::is_sent(std::uint64_t id) const {
+    const auto found = requests_.find(id);
+    return found == requests_.end() || found->second->conn != nullptr;
+}
+
+bool endpoint_client::cancel(std::uint64_t id) {
     const auto found = requests_.find(id);
     if (found == requests_.end()) {
-        return;
+        return false;
     }
     const auto item = found->second;
     requests_.erase(found);
     item->cancelled = true;
-    if (item->conn) {
-        set_buffered(*item->conn, 0);
-        item->conn->current.reset();
-        item->conn->transport->close();
-        item->conn.reset();
+    if (!item->conn) {
+        return true;
     }
+    set_buffered(*item->conn, 0);
+    item->conn->current.reset();
+    item->conn->transport->close();
+    item->conn.reset();
+    return false;
 }
 
 void endpoint_client::close_idle() {
--- a/src/sidecar/endpoint_client.h
+++ b/src/sidecar/endpoint_client.h
@@ -36,10 +36,13 @@
     /// `cancel`. A response with a body of more than `max_body_bytes` is ended with `bad_response`.
     std::uint64_t send(http_message request, std::string request_id, endpoint_result_handler done,
                        std::uint64_t max_body_bytes = max_response_bytes);
-    /// Cancels a request by closing its connection, which makes the endpoint stop processing it.
-    void cancel(std::uint64_t id);
+    /// Cancels a request by closing its connection, which makes the endpoint stop processing it. Returns true
+    /// when nothing of the request has been sent.
+    bool cancel(std::uint64_t id);
     /// Closes all idle connections. Call when the endpoint has been replaced.
     void close_idle();
+    /// False while the request waits for its connection.
+    [[nodiscard]] bool is_sent(std::uint64_t id) const;
     /// Closes connections whose idle timeout has expired. Call a few times per second.
     void sweep(time_point now);
     [[nodiscard]] std::size_t idle_connections() const { return idle_.size(); }
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -23,6 +23,11 @@
 /// times its content, and a complete response is copied into its frame.
 constexpr std::size_t response_memory_divisor = 8;
 
+/// A request that has not been sent to the endpoint is refused this long before its deadline, so that the
+/// other daemon still learns in time that it did not run: two passes through event loops, each with a tick of
+/// 20 ms at worst, and a round trip between failure domains.
+constexpr duration refusal_delivery_time = milliseconds{45};
+
 /// Parses the number of slots from a load header: running requests, waiting requests and slots, separated by
 /// commas.
 std::optional<std::uint32_t> parse_slots(std::string_view load) {
@@ -43,6 +48,7 @@
     reply_handler done;
     time_point arrived;
     time_point deadline;
+    time_point unsent_end; ///< when a request that has not been sent to the endpoint is refused
     std::optional<time_point> started;
     std::uint64_t client_id = 0;
     std::string version;
@@ -62,6 +68,7 @@
     item->done = std::move(done);
     item->arrived = now;
     item->deadline = now + item->call.remaining;
+    item->unsent_end = item->deadline - std::min(refusal_delivery_time, duration{item->call.remaining} / 2);
     jobs_[item->id] = item;
     if (item->call.endpoint_id != tracker_.current().endpoint_id ||
         item->call.service != tracker_.current().service) {
@@ -249,19 +256,20 @@
     apply(gate_.finish(item->id, service_time, clock_.now()));
 }
 
-void endpoint_service::cancel(std::uint64_t id) {
+bool endpoint_service::cancel(std::uint64_t id) {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
-        return;
+        return false;
     }
     const auto item = found->second;
     jobs_.erase(found);
-    if (item->started) {
-        client_.cancel(item->client_id);
-        release_slot(item, unfinished_service_time(*item));
-    } else {
+    if (!item->started) {
         gate_.remove(id);
+        return true;
     }
+    const bool unsent = client_.cancel(item->client_id);
+    release_slot(item, unsent ? std::nullopt : unfinished_service_time(*item));
+    return unsent;
 }
 
 void endpoint_service::tick(time_point now) {
@@ -271,7 +279,8 @@
     }
     std::vector<std::shared_ptr<job>> expired;
     for (const auto& [id, item] : jobs_) {
-        if (item->deadline <= now) {
+        const bool sent = item->started && client_.is_sent(item->client_id);
+        if ((sent ? item->deadline : item->unsent_end) <= now) {
             expired.push_back(item);
         }
     }
@@ -281,7 +290,11 @@
             refuse(item, mesh::reason::too_late, duration{0});
             continue;
         }
-        client_.cancel(item->client_id);
+        if (client_.cancel(item->client_id)) {
+            refuse(item, mesh::reason::too_late, duration{0});
+            release_slot(item, std::nullopt);
+            continue;
+        }
         reply_message message;
         message.why = mesh::reason::timed_out;
         record_evidence(*item, true, now - *item->started);
--- a/src/sidecar/endpoint_service.h
+++ b/src/sidecar/endpoint_service.h
@@ -17,7 +17,7 @@
     void on_change(std::function<void()> handler) { on_change_ = std::move(handler); }
 
     std::uint64_t execute(call_message call, reply_handler done) override;
-    void cancel(std::uint64_t id) override;
+    bool cancel(std::uint64_t id) override;
 
     /// Applies a change to the tracker and updates the gate accordingly.
     void update(const std::function<void(mesh::endpoint_tracker&)>& change);
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -170,7 +170,7 @@
     const mesh::choice_request criteria{item->caller->request().body.size(), item->route->latency_target};
     const auto chosen = mesh::choose_endpoint(facts, criteria, next_random(random_));
     if (!chosen) {
-        answer_without_endpoint(item, std::max(default_retry_after, item->retry_after));
+        answer_without_endpoint(item, std::max(item->retry_delay_guess(now), item->retry_after));
         return;
     }
     const auto& target = options[*chosen];
@@ -265,6 +265,12 @@
         }
         return;
     }
+    if (reply.why == mesh::reason::too_late) {
+        // It waited until no time was left, so no other endpoint can answer in time either.
+        item->record_refusal(reply.why, reply.retry_after);
+        answer_without_endpoint(item, item->retry_delay_guess(now));
+        return;
+    }
     ++item->refusals;
     item->record_refusal(reply.why, reply.retry_after);
     auto* entry = peers_.find(item->attempts[index].daemon);
@@ -285,7 +291,7 @@
         attempt(item);
         return;
     }
-    answer_without_endpoint(item, std::max(default_retry_after / 4, item->retry_after));
+    answer_without_endpoint(item, std::max(min_retry_after, item->retry_after));
 }
 
 } // namespace endive::sidecar
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -53,7 +53,10 @@
     /// Answers when no endpoint is left and no attempt is open, according to the outcome of the attempts.
     void answer_without_endpoint(const std::shared_ptr<active_request>& item, duration retry_after);
     void answer(const std::shared_ptr<active_request>& item, http_message response);
-    void cancel_calls(active_request& item);
+    /// Records which attempts are known not to have reached an endpoint.
+    void cancel_calls(active_request& item, mesh::reason why = mesh::reason::caller_left);
+    /// Ends a request without an answer of an endpoint: with `status`, or as not run if that is certain.
+    void end_unanswered(const std::shared_ptr<active_request>& item, unsigned status, mesh::reason why);
     /// Also sends safe requests whose attempts are all on suspect links to another endpoint, if one is
     /// available. The first response is delivered.
     void replace_suspect_attempts(time_point now);
--- a/src/sidecar/forwarder_answers.cpp
+++ b/src/sidecar/forwarder_answers.cpp
@@ -118,20 +118,34 @@
     return settings_.memory_part(body_memory_divisor);
 }
 
-void forwarder::cancel_calls(active_request& item) {
+void forwarder::cancel_calls(active_request& item, mesh::reason why) {
     for (const auto& call : std::exchange(item.calls, {})) {
-        call.target->cancel(call.id);
+        if (call.target->cancel(call.id)) {
+            item.attempts[call.attempt].end(mesh::attempt_outcome::not_run, why, clock_.now());
+        }
+    }
+}
+
+void forwarder::end_unanswered(const std::shared_ptr<active_request>& item, unsigned status,
+                               mesh::reason why) {
+    cancel_calls(*item, why);
+    if (item->failed_answer) {
+        deliver(item, std::move(*item->failed_answer));
+    } else if (item->may_have_run()) {
+        fail(item, status, why);
+    } else {
+        refuse(item, why == mesh::reason::timed_out ? mesh::reason::too_late : why,
+               item->retry_after > duration{0} ? item->retry_after : item->retry_delay_guess(clock_.now()));
     }
 }
+
 void forwarder::end_requests() {
     const auto ended = open_;
     for (const auto& item : ended) {
         if (item->caller->finished()) {
             release(item);
-        } else if (item->failed_answer) {
-            deliver(item, std::move(*item->failed_answer));
         } else {
-            fail(item, status_bad_gateway, mesh::reason::stopping);
+            end_unanswered(item, status_bad_gateway, mesh::reason::stopping);
         }
     }
 }
--- a/src/sidecar/forwarder_timers.cpp
+++ b/src/sidecar/forwarder_timers.cpp
@@ -76,10 +76,8 @@
     for (const auto& item : expired) {
         if (item->caller->finished()) {
             release(item);
-        } else if (item->failed_answer) {
-            deliver(item, std::move(*item->failed_answer));
         } else {
-            fail(item, status_gateway_timeout, mesh::reason::timed_out);
+            end_unanswered(item, status_gateway_timeout, mesh::reason::timed_out);
         }
     }
 }
--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -101,10 +101,14 @@
     }
 }
 
-void peer_link::cancel(std::uint64_t id) {
-    if (unverified_.erase(id) == 0 && pending_.erase(id) > 0) {
+bool peer_link::cancel(std::uint64_t id) {
+    if (unverified_.erase(id) > 0) {
+        return true;
+    }
+    if (pending_.erase(id) > 0) {
         send(cancel_message{id});
     }
+    return false;
 }
 
 void peer_link::send(const peer_message& message) {
--- a/src/sidecar/peer_link.h
+++ b/src/sidecar/peer_link.h
@@ -40,7 +40,7 @@
     /// On a link that has been silent for a while, the call is sent when the other daemon has answered a
     /// ping. If it does not answer soon, the call ends as not run with reason `peer_silent`.
     std::uint64_t execute(call_message call, reply_handler done) override;
-    void cancel(std::uint64_t id) override;
+    bool cancel(std::uint64_t id) override;
     void send(const peer_message& message);
     /// Counts the bytes sent for each kind of message in counters with this prefix.
     void count_bytes(counter_set& counters, std::string prefix) {
--- a/tests/sidecar/links_test.cpp
+++ b/tests/sidecar/links_test.cpp
@@ -188,7 +188,7 @@
     } events;
     struct no_calls final : call_target {
         std::uint64_t execute(call_message, reply_handler) override { return 0; }
-        void cancel(std::uint64_t) override {}
+        bool cancel(std::uint64_t) override { return false; }
     } calls;
     std::size_t bytes = 0;
     const scripted_server peer{loop, [&](const std::shared_ptr<stream>&, std::string& input) {
