--- a/src/sidecar/endpoint_service.h
+++ b/src/sidecar/endpoint_service.h
@@ -22,7 +22,7 @@
     void on_key_check(key_check check) { check_key_ = std::move(check); }
 
     std::uint64_t execute(call_message call, reply_handler done) override;
-    void cancel(std::uint64_t id) override;
+    bool cancel(std::uint64_t id) override;
 
     /// Applies a change to the tracker and updates the gate accordingly.
     void update(const std::function<void(mesh::endpoint_tracker&)>& change);
