Bound what clients make the daemon hold

Cause: stream::send queued responses without bound for clients that did not read, and a connection took up to 8 requests however much of its earlier responses was unread; incomplete requests were checked ten times a second only; each bound held by itself; freed large blocks and receive buffers of links were kept; callers could take all descriptors.

Change: all buffers are charged to one account of the process. Undelivered responses are bounded for the process and for each client address, and the slowest readers are closed first; a connection's next request waits while more than 256 KiB are unread; incomplete requests are checked with each read; new requests with large bodies get 503 when memory is full, before they are handled; responses wait at the endpoint while replies or other responses take too much. Callers' connections are bounded by max_descriptors less a reserve: idle ones are closed for new ones, and accept_failed is logged once in a row of failures. The session of a connection moves to a file of its own.

Callers saw: the process ended, and with it all open requests; no new connections while silent ones held all descriptors.

--- a/include/endive/base.h
+++ b/include/endive/base.h
@@ -218,6 +218,9 @@
     /// `peer_frame_malformed` (length 0); the decoder must not be used after that.
     [[nodiscard]] std::optional<std::string_view> next();
     [[nodiscard]] std::size_t buffered() const { return buffer_.size() - start_; }
+    /// Releases the memory of a large buffer when all its frames have been returned; their views become
+    /// invalid.
+    void release_consumed();
 
 private:
     std::size_t max_frame_bytes_;
--- a/src/base/frame_decoder.cpp
+++ b/src/base/frame_decoder.cpp
@@ -36,6 +36,13 @@
     buffer_.append(bytes);
 }
 
+void frame_decoder::release_consumed() {
+    if (start_ == buffer_.size() && buffer_.capacity() > compact_threshold) {
+        buffer_ = {};
+        start_ = 0;
+    }
+}
+
 std::optional<std::string_view> frame_decoder::next() {
     const auto unread = std::string_view{buffer_}.substr(start_);
     if (unread.size() < frame_length_bytes) {
--- a/src/sidecar/endpoint_client.cpp
+++ b/src/sidecar/endpoint_client.cpp
@@ -41,6 +41,7 @@
     std::unique_ptr<response_reader> reader;
     std::shared_ptr<active_request> current;
     std::size_t buffered_bytes = 0; ///< of the response being received
+    byte_charge charge;
     struct earlier_request {
         std::string id;
         bool refused = false;
@@ -114,6 +115,8 @@
         }
         auto conn = std::make_shared<connection>();
         conn->transport = std::move(transport);
+        conn->transport->charge_queue(memory_.account);
+        conn->charge.move_to(memory_.account);
         conn->transport->start([this, conn](std::string_view bytes) { on_data(conn, bytes); },
                                [this, conn](stream_end how) { on_end(conn, how); });
         dispatch(item, conn);
@@ -147,6 +150,10 @@
         if (status == read_status::need_more) {
             set_buffered(*conn, conn->input.size() + conn->reader->message().body.size());
             limit_buffered();
+            if (conn->current != nullptr && must_wait(conn)) {
+                conn->transport->pause();
+                waiting_.insert(conn);
+            }
             return;
         }
         if (status != read_status::complete) {
@@ -218,6 +225,7 @@
     item->conn.reset();
     requests_.erase(item->id);
     set_buffered(*conn, 0);
+    waiting_.erase(conn);
     const bool reusable = result.outcome == mesh::attempt_outcome::answered && !conn->tainted &&
                           !conn->transport->sending() && conn->transport->is_open();
     if (reusable) {
@@ -236,18 +244,48 @@
 void endpoint_client::set_buffered(connection& conn, std::size_t bytes) {
     buffered_bytes_ += bytes - conn.buffered_bytes;
     conn.buffered_bytes = bytes;
+    conn.charge.set(bytes);
+}
+
+void endpoint_client::set_memory(const process_memory& memory, std::function<bool()> is_congested) {
+    memory_ = memory;
+    is_congested_ = std::move(is_congested);
+}
+
+std::shared_ptr<endpoint_client::connection> endpoint_client::largest_response() const {
+    std::shared_ptr<connection> largest;
+    for (const auto& [id, item] : requests_) {
+        if (item->conn && (!largest || item->conn->buffered_bytes > largest->buffered_bytes)) {
+            largest = item->conn;
+        }
+    }
+    return largest;
 }
 
 void endpoint_client::limit_buffered() {
-    const auto size_of = [](const auto& entry) {
-        return entry.second->conn ? entry.second->conn->buffered_bytes : 0;
-    };
     while (buffered_bytes_ > max_buffered_bytes_) {
-        const auto largest =
-            std::max_element(requests_.begin(), requests_.end(),
-                             [&](const auto& a, const auto& b) { return size_of(a) < size_of(b); });
-        const auto conn = largest->second->conn; // `complete` resets the member
-        complete(conn, {mesh::attempt_outcome::unknown, mesh::reason::bad_response, {}});
+        complete(largest_response(), {mesh::attempt_outcome::unknown, mesh::reason::bad_response, {}});
+    }
+}
+
+/// True when the rest of a response stays at the endpoint for now.
+bool endpoint_client::must_wait(const std::shared_ptr<connection>& conn) const {
+    if (conn->buffered_bytes <= max_small_message_bytes) {
+        return false;
+    }
+    if (is_congested_ && is_congested_()) {
+        return true;
+    }
+    return buffered_bytes_ > max_buffered_bytes_ / 2 && conn != largest_response();
+}
+
+void endpoint_client::resume_waiting() {
+    const auto waiting = waiting_;
+    for (const auto& conn : waiting) {
+        if (!must_wait(conn)) {
+            waiting_.erase(conn);
+            conn->transport->resume();
+        }
     }
 }
 
@@ -261,6 +299,7 @@
     item->cancelled = true;
     if (item->conn) {
         set_buffered(*item->conn, 0);
+        waiting_.erase(item->conn);
         item->conn->current.reset();
         item->conn->transport->close();
         item->conn.reset();
--- a/src/sidecar/endpoint_client.h
+++ b/src/sidecar/endpoint_client.h
@@ -8,6 +8,7 @@
 #include "endive/mesh.h"
 
 #include <map>
+#include <set>
 
 namespace endive::sidecar {
 
@@ -28,10 +29,16 @@
 /// Not thread safe.
 class endpoint_client {
 public:
-    /// The responses being received may take `max_buffered_bytes` together. Beyond it the largest one is
+    /// The responses being received may take `max_buffered_bytes` together. Above half of it, only the
+    /// largest one is received further, and the others wait at the endpoint. Beyond it the largest one is
     /// ended with `bad_response`.
     endpoint_client(boost::asio::io_context& loop, const clock_source& clock, std::string_view address,
                     std::size_t max_buffered_bytes);
+    /// Charges responses being received and requests being sent to `memory`. While `is_congested` returns
+    /// true, responses wait at the endpoint.
+    void set_memory(const process_memory& memory, std::function<bool()> is_congested);
+    /// Receives waiting responses again where memory allows. Call every few tens of milliseconds.
+    void resume_waiting();
     /// Sends a request and calls `done` exactly once unless `cancel` is called first. Returns an id for
     /// `cancel`. A response with a body of more than `max_body_bytes` is ended with `bad_response`.
     std::uint64_t send(http_message request, std::string request_id, endpoint_result_handler done,
@@ -58,14 +65,19 @@
     void complete(const std::shared_ptr<connection>& conn, endpoint_result result);
     /// Updates the bytes that the response on `conn` takes.
     void set_buffered(connection& conn, std::size_t bytes);
-    /// Ends the largest response while all together exceed the limit.
+    /// Lets responses wait when all together exceed half the limit, and ends the largest one beyond it.
     void limit_buffered();
+    [[nodiscard]] std::shared_ptr<connection> largest_response() const;
+    [[nodiscard]] bool must_wait(const std::shared_ptr<connection>& conn) const;
 
     boost::asio::io_context& loop_;
     const clock_source& clock_;
     tcp::endpoint address_;
     std::size_t max_buffered_bytes_;
     std::size_t buffered_bytes_ = 0;
+    process_memory memory_;
+    std::function<bool()> is_congested_;
+    std::set<std::shared_ptr<connection>> waiting_; ///< connections that are not read for lack of memory
     std::uint64_t next_id_ = 1;
     std::map<std::uint64_t, std::shared_ptr<active_request>> requests_;
     std::vector<std::shared_ptr<connection>> idle_; ///< the most recently used one last
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -47,6 +47,7 @@
     std::uint64_t client_id = 0;
     std::string version;
     bool cold = false;
+    byte_charge held; ///< of the body until it is sent
 };
 
 endpoint_service::endpoint_service(boost::asio::io_context& loop, const clock_source& clock,
@@ -72,6 +73,12 @@
         refuse(item, not_starting_reason(), duration{0});
         return item->id;
     }
+    if (memory_.is_full() && item->call.body.size() > max_small_message_bytes) {
+        refuse(item, mesh::reason::memory, duration{0});
+        return item->id;
+    }
+    item->held.move_to(memory_.account);
+    item->held.set(item->call.body.size());
     const auto target = now + item->call.latency_target - item->call.waited;
     apply(gate_.offer({item->id, item->call.priority, item->call.latency_target, target, item->deadline,
                        item->call.only_if_free},
@@ -126,6 +133,7 @@
     request.target = item->call.target;
     request.headers = std::move(item->call.headers);
     request.body = std::move(item->call.body);
+    item->held.set(0);
     const auto remaining =
         std::max(milliseconds{1}, std::chrono::duration_cast<milliseconds>(item->deadline - now));
     request.headers.push_back(
@@ -264,7 +272,13 @@
     }
 }
 
+void endpoint_service::set_memory(const process_memory& memory, std::function<bool()> is_congested) {
+    memory_ = memory;
+    client_.set_memory(memory, std::move(is_congested));
+}
+
 void endpoint_service::tick(time_point now) {
+    client_.resume_waiting();
     if (probe_ && probe_->deadline <= now) {
         client_.cancel(probe_->client_id);
         probe_.reset();
--- a/src/sidecar/endpoint_service.h
+++ b/src/sidecar/endpoint_service.h
@@ -28,6 +28,9 @@
     /// Sets whether the version of this endpoint has been replaced. A retired endpoint starts no requests.
     void set_retired(bool retired);
     [[nodiscard]] mesh::endpoint_load load() const;
+    /// Charges requests and responses to `memory`. While `is_congested` returns true, responses wait at the
+    /// endpoint. Call before the first request.
+    void set_memory(const process_memory& memory, std::function<bool()> is_congested);
     /// Sets the use of the VM's network link, which is reported with the load.
     void set_link_use(double use) { link_use_ = use; }
     /// Share of repeated requests among the latest runs.
@@ -79,6 +82,7 @@
     std::optional<time_point> stop_deadline_;
     bool retired_ = false;
     double link_use_ = 0;
+    process_memory memory_;
 };
 
 } // namespace endive::sidecar
--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -1,321 +1,196 @@
-#include "sidecar/http_server.h"
+#include "sidecar/http_session.h"
 
-#include "sidecar/guard.h"
+#include "sidecar/events.h"
 
 #include <algorithm>
 
 namespace endive::sidecar {
 namespace {
 
-/// Maximum bytes of pipelined requests that are buffered per connection; beyond it reading pauses and TCP
-/// flow control slows the caller down.
-constexpr std::size_t max_pipelined_bytes = 256UL * 1024;
-/// Maximum time to wait for the caller to close a connection after its last response was delivered. Closing
-/// earlier could reset the connection before the caller has read the response.
-constexpr duration linger_time = std::chrono::seconds{1};
-/// Maximum time from the first byte of a request to the last of its body. It is longer than callers wait.
-constexpr duration body_timeout = std::chrono::seconds{60};
-/// Added to the header and idle timeouts so that a caller that just meets the limit is not disconnected.
-constexpr duration timeout_slack = milliseconds{500};
-
-/// Maximum number of requests of one connection that are handled concurrently.
-constexpr std::size_t max_concurrent_requests = 8;
-/// Idle timeout while the daemon is stopping. It is short so that a caller does not send its next request
-/// shortly before the process ends.
-constexpr duration draining_idle_timeout = milliseconds{300};
-
-constexpr unsigned status_request_timeout = 408;
-constexpr unsigned status_internal_error = 500;
-constexpr unsigned status_unavailable = 503;
-
-bool is_safe_method(std::string_view method) {
-    return method == "GET" || method == "HEAD";
-}
+/// Fraction of a bound to which undelivered bytes are reduced when they exceed it, so that not every response
+/// needs a decision.
+constexpr std::size_t relief_divisor = 8;
+/// Share of the connections that are closed at once for new ones.
+constexpr std::size_t room_divisor = 32;
+/// A caller that has read nothing for this long is closed when the process is short of memory.
+constexpr duration stalled_time = milliseconds{200};
+/// Interval between searches for connections to close when there was none.
+constexpr duration room_search_interval = milliseconds{50};
 
 } // namespace
 
-/// A connection of a caller. Requests with a safe method are handled concurrently with earlier ones;
-/// responses are sent in order of arrival of the requests.
-class http_session : public std::enable_shared_from_this<http_session> {
-public:
-    http_session(http_server& server, std::shared_ptr<stream> connection)
-        : server_{&server}, connection_{std::move(connection)}, phase_start_{server.clock_.now()} {}
-
-    void start() {
-        connection_->start([self = shared_from_this()](std::string_view bytes) { self->on_data(bytes); },
-                           [self = shared_from_this()](stream_end) { self->on_end(); });
-    }
-
-    void respond(const exchange* which, http_message response) {
-        const auto found = std::find_if(pending_.begin(), pending_.end(),
-                                        [&](const pending& entry) { return entry.from.get() == which; });
-        if (found == pending_.end()) {
-            return;
-        }
-        found->response = std::move(response);
-        flush();
-    }
-
-    void sweep(time_point now) {
-        const auto& limits = server_->limits_;
-        if (closing_) {
-            if (connection_->is_undelivered()) {
-                phase_start_ = now;
-            } else if (now - phase_start_ > linger_time) {
-                drop();
-            }
-            return;
-        }
-        if (!pending_.empty()) {
-            return;
-        }
-        const bool partial = reader_ && reader_->started();
-        const auto idle_timeout =
-            server_->draining_ ? draining_idle_timeout : limits.idle_timeout + timeout_slack;
-        if (!partial && now - phase_start_ > idle_timeout) {
-            // A request that arrived in time may not have been read yet on a busy loop.
-            if (!connection_->has_unread()) {
-                drop();
-            }
-        } else if (partial && !reader_->has_header() &&
-                   now - phase_start_ > limits.header_timeout + timeout_slack) {
-            reject(status_request_timeout, "the header took too long");
-        } else if (partial && now - phase_start_ > body_timeout) {
-            reject(status_request_timeout, "the body took too long");
-        }
+void exchange::respond(http_message response) {
+    if (finished_) {
+        return;
     }
-
-    void stop_reading() { connection_->pause(); }
-
-    /// Bytes of requests that have not been handed over.
-    [[nodiscard]] std::size_t buffered_bytes() const {
-        return closing_ ? 0 : input_.size() + (reader_ ? reader_->message().body.size() : 0);
+    finished_ = true;
+    on_abandoned_ = nullptr;
+    if (const auto session = session_.lock()) {
+        session->respond(this, std::move(response));
     }
+}
 
-    void reject_incomplete() {
-        input_.clear();
-        reader_.reset();
-        deferred_.reset();
-        if (pending_.empty()) {
-            reject(status_unavailable, "memory");
-        } else {
-            drop();
-        }
+void exchange::abandon() {
+    if (finished_) {
+        return;
     }
-
-    void drop() {
-        const auto self = shared_from_this();
-        connection_->close();
-        abandon_all();
-        remove_session();
+    finished_ = true;
+    if (const auto handler = std::exchange(on_abandoned_, nullptr)) {
+        handler();
     }
+}
 
-    [[nodiscard]] std::size_t open_exchanges() const { return pending_.size(); }
-    [[nodiscard]] bool is_undelivered() const { return connection_->is_undelivered(); }
+http_server::http_server(boost::asio::io_context& loop, const clock_source& clock, std::string_view address,
+                         exchange_handler handler)
+    : clock_{clock}, handler_{std::move(handler)}, listener_{loop, address,
+                                                             [this](std::shared_ptr<stream> connection) {
+                                                                 add_session(std::move(connection));
+                                                             }} {}
 
-private:
-    struct pending {
-        std::shared_ptr<exchange> from;
-        std::optional<http_message> response;
-    };
+void http_server::set_bounds(const client_bounds& bounds, process_memory process, counter_set* counters) {
+    bounds_ = bounds;
+    process_ = std::move(process);
+    undelivered_ = std::make_shared<byte_account>(process_.account);
+    incomplete_ = std::make_shared<byte_account>(process_.account);
+    counters_ = counters;
+}
 
-    void on_data(std::string_view bytes) {
-        if (closing_ || server_ == nullptr) {
-            return;
-        }
-        input_.append(bytes);
-        parse();
+void http_server::add_session(std::shared_ptr<stream> connection) {
+    ++accepted_connections_;
+    const auto number = connection->remote_address();
+    auto& entry = addresses_[number];
+    if (!entry) {
+        entry = std::make_shared<client_address>(number, undelivered_);
     }
-
-    void on_end() {
-        abandon_all();
-        remove_session();
+    const auto address = entry;
+    ++address->connections;
+    if (!make_room(*address)) {
+        release(*address);
+        refuse(*connection, number);
+        return;
     }
+    connection->count_received(received_total_);
+    const auto session = std::make_shared<http_session>(*this, std::move(connection), address);
+    sessions_.insert(session);
+    session->start();
+}
 
-    /// True when another request may be handled concurrently with the pending ones.
-    [[nodiscard]] bool may_dispatch() const {
-        if (pending_.empty()) {
-            return true;
-        }
-        return pending_.size() < max_concurrent_requests && pending_.back().from->request().keep_alive &&
-               is_safe_method(pending_.back().from->request().method);
+void http_server::remove_session(const std::shared_ptr<http_session>& session, client_address& address) {
+    if (sessions_.erase(session) > 0) {
+        release(address);
     }
+}
 
-    void parse() {
-        if (parsing_) {
-            return;
-        }
-        parsing_ = true;
-        while (server_ != nullptr && !closing_ && !input_.empty() && may_dispatch() && !deferred_) {
-            if (!reader_) {
-                reader_ = std::make_unique<request_reader>(
-                    read_limits{server_->limits_.header_bytes, server_->limits_.body_bytes}, false);
-                phase_start_ = server_->clock_.now();
-            }
-            const auto status = reader_->feed(input_);
-            if (status == read_status::need_more) {
-                send_continue_if_expected();
-                break;
-            }
-            deferred_ = status;
-            dispatch_deferred();
-        }
-        parsing_ = false;
-        if (!pending_.empty() && input_.size() > max_pipelined_bytes) {
-            connection_->pause();
-        }
+void http_server::release(client_address& address) {
+    if (--address.connections == 0) {
+        addresses_.erase(address.address);
     }
+}
 
-    /// Dispatches the deferred request, if any. One without a safe method waits until all earlier requests
-    /// have been answered.
-    void dispatch_deferred() {
-        if (!deferred_ || (!pending_.empty() && (*deferred_ != read_status::complete ||
-                                                 !is_safe_method(reader_->message().method)))) {
-            return;
-        }
-        dispatch(*std::exchange(deferred_, std::nullopt));
+/// True when there is room for a new connection, which the address already counts. Closes idle ones when
+/// there is none.
+bool http_server::make_room(const client_address& address) {
+    const auto has_room = [&] {
+        return sessions_.size() < bounds_.connections &&
+               address.connections <= bounds_.connections_per_address;
+    };
+    const auto now = clock_.now();
+    if (has_room() || now < next_room_search_) {
+        return has_room();
     }
-
-    void send_continue_if_expected() {
-        const bool expected = reader_->has_header() && reader_->message().expects_continue;
-        if (expected && !continued_ && pending_.empty()) {
-            continued_ = true;
-            connection_->send(std::string{"HTTP/1.1 100 Continue\r\n\r\n"});
+    const auto [sessions, facts] = all_facts(now);
+    const bool address_full = address.connections > bounds_.connections_per_address;
+    const auto count = std::max<std::size_t>(1, bounds_.connections / room_divisor);
+    const auto chosen =
+        choose_idle(facts, count, address_full ? std::optional{address.address} : std::nullopt);
+    for (const auto index : chosen) {
+        // A request that arrived in time may not have been read yet on a busy loop.
+        if (facts[index].undelivered_bytes > 0 || !sessions[index]->has_unread()) {
+            close_client(sessions[index], facts[index], "connections");
         }
     }
-
-    void dispatch(read_status status) {
-        if (status == read_status::header_too_large) {
-            reject(431, "the header is too large");
-        } else if (status == read_status::body_too_large) {
-            reject(413, "the body is too large");
-        } else if (status == read_status::malformed) {
-            reject(400, "not a valid HTTP/1.1 request");
-        } else {
-            continued_ = false;
-            auto started = std::make_shared<exchange>(weak_from_this(), std::move(reader_->message()),
-                                                      server_->clock_.now());
-            reader_.reset();
-            pending_.push_back({started, std::nullopt});
-            if (!run_guarded("request", [&] { server_->handler_(started); }) && !started->finished()) {
-                started->respond(own_response(status_internal_error, "internal error\n"));
-            }
-        }
+    if (!has_room()) {
+        next_room_search_ = now + room_search_interval;
     }
+    return has_room();
+}
 
-    /// Sends the responses that are next in order.
-    void flush() {
-        while (!pending_.empty() && pending_.front().response && !closing_) {
-            const auto entry = std::move(pending_.front());
-            pending_.pop_front();
-            const bool last = pending_.empty();
-            const bool draining = server_ == nullptr || server_->draining_;
-            const bool close = !entry.from->request().keep_alive || (draining && last);
-            send(entry, close);
-            if (close) {
-                end_after_response();
-                return;
-            }
-        }
-        if (server_ == nullptr) {
-            return;
-        }
-        phase_start_ = server_->clock_.now();
-        if (!server_->reading_) {
-            return;
-        }
-        connection_->resume();
-        if (!parsing_) {
-            dispatch_deferred();
-            parse();
-        }
-    }
+void http_server::refuse(stream& connection, std::uint32_t address) {
+    count("clients_refused");
+    log(event::client_refused, {{"client", boost::asio::ip::make_address_v4(address).to_string()},
+                                {"connections", sessions_.size()}});
+    connection.close();
+}
 
-    void send(const pending& entry, bool close) {
-        const bool head = entry.from->request().method == "HEAD";
-        const auto& response = *entry.response;
-        std::string bytes = serialize_response_head(response, close);
-        if (!head) {
-            bytes += response.body;
-        }
-        connection_->send(std::move(bytes));
+std::pair<std::vector<std::shared_ptr<http_session>>, std::vector<client_facts>>
+http_server::all_facts(time_point now) const {
+    std::vector<std::shared_ptr<http_session>> sessions{sessions_.begin(), sessions_.end()};
+    std::vector<client_facts> facts;
+    facts.reserve(sessions.size());
+    for (const auto& session : sessions) {
+        facts.push_back(session->facts(now));
     }
+    return {std::move(sessions), std::move(facts)};
+}
 
-    void reject(unsigned status, std::string why) {
-        const auto response = own_response(status, std::move(why));
-        connection_->send(serialize_response_head(response, true) + response.body);
-        end_after_response();
-    }
+void http_server::close_client(const std::shared_ptr<http_session>& session, const client_facts& facts,
+                               std::string_view reason) {
+    count("clients_closed_" + std::string{reason});
+    log(event::client_closed,
+        {{"client", boost::asio::ip::make_address_v4(facts.address).to_string()},
+         {"reason", reason},
+         {"undelivered_bytes", facts.undelivered_bytes},
+         {"incomplete_bytes", facts.incomplete_bytes},
+         {"undelivered_ms", std::chrono::duration_cast<milliseconds>(facts.undelivered_for).count()},
+         {"silent_ms", std::chrono::duration_cast<milliseconds>(facts.silent_for).count()},
+         {"connections", sessions_.size()}});
+    session->drop(true);
+}
 
-    void end_after_response() {
-        closing_ = true;
-        phase_start_ = server_ == nullptr ? phase_start_ : server_->clock_.now();
-        abandon_all();
-        connection_->finish_sending();
-        if (server_ == nullptr || server_->reading_) {
-            connection_->resume();
-        }
+/// Closes the slowest readers so that the undelivered responses fall to `target`.
+void http_server::close_slow_readers(std::size_t target, std::optional<std::uint32_t> address,
+                                     duration unread_for) {
+    const auto [sessions, facts] = all_facts(clock_.now());
+    for (const auto index : choose_slow_readers(facts, target, address, unread_for)) {
+        close_client(sessions[index], facts[index], "slow_reader");
     }
+}
 
-    void abandon_all() {
-        for (const auto& entry : std::exchange(pending_, {})) {
-            entry.from->abandon();
-        }
+void http_server::limit_undelivered() {
+    std::vector<std::shared_ptr<client_address>> addresses;
+    for (const auto& [number, entry] : addresses_) {
+        addresses.push_back(entry);
     }
-
-    void remove_session() {
-        if (server_ != nullptr) {
-            const auto self = shared_from_this();
-            std::exchange(server_, nullptr)->sessions_.erase(self);
-        }
+    for (const auto& entry : addresses) {
+        limit_undelivered(*entry);
     }
+}
 
-    http_server* server_;
-    std::shared_ptr<stream> connection_;
-    std::string input_;
-    std::unique_ptr<request_reader> reader_;
-    std::optional<read_status> deferred_; ///< set while a request that was read waits to be dispatched
-    std::deque<pending> pending_;         ///< in order of arrival
-    time_point phase_start_;              ///< start of the idle time, the header or the closing
-    bool closing_ = false;
-    bool parsing_ = false;
-    bool continued_ = false;
-};
-
-void exchange::respond(http_message response) {
-    if (finished_) {
-        return;
+/// Closes the slowest readers when the undelivered responses of the address, of all or of the process exceed
+/// their bound.
+void http_server::limit_undelivered(const client_address& address) {
+    const auto lowered = [](std::size_t bound) { return bound - bound / relief_divisor; };
+    if (address.undelivered->total() > bounds_.undelivered_per_address) {
+        close_slow_readers(lowered(bounds_.undelivered_per_address), address.address);
     }
-    finished_ = true;
-    on_abandoned_ = nullptr;
-    if (const auto session = session_.lock()) {
-        session->respond(this, std::move(response));
+    if (undelivered_->total() > bounds_.undelivered) {
+        close_slow_readers(lowered(bounds_.undelivered));
+    }
+    if (process_.is_full()) {
+        const auto excess = process_.account->total() - lowered(process_.bound);
+        close_slow_readers(undelivered_->total() - std::min(undelivered_->total(), excess), std::nullopt,
+                           stalled_time);
     }
 }
 
-void exchange::abandon() {
-    if (finished_) {
-        return;
-    }
-    finished_ = true;
-    if (const auto handler = std::exchange(on_abandoned_, nullptr)) {
-        handler();
+void http_server::count(const std::string& name) {
+    if (counters_ != nullptr) {
+        counters_->add(name);
     }
 }
 
-http_server::http_server(boost::asio::io_context& loop, const clock_source& clock, std::string_view address,
-                         exchange_handler handler)
-    : clock_{clock}, handler_{std::move(handler)}, listener_{loop, address,
-                                                             [this](std::shared_ptr<stream> connection) {
-                                                                 add_session(std::move(connection));
-                                                             }} {}
-
-void http_server::add_session(std::shared_ptr<stream> connection) {
-    ++accepted_connections_;
-    connection->count_received(received_total_);
-    const auto session = std::make_shared<http_session>(*this, std::move(connection));
-    sessions_.insert(session);
-    session->start();
+bool http_server::is_short() const {
+    return undelivered_->total() > bounds_.undelivered / 2 || process_.is_short();
 }
 
 void http_server::start_draining() {
@@ -337,22 +212,28 @@
     for (const auto& session : sessions) {
         session->sweep(now);
     }
-    limit_buffered();
+    limit_incomplete();
+    limit_undelivered();
 }
 
-void http_server::limit_buffered() {
-    for (;;) {
-        std::size_t total = 0;
-        std::shared_ptr<http_session> largest;
-        for (const auto& session : sessions_) {
-            total += session->buffered_bytes();
-            if (!largest || session->buffered_bytes() > largest->buffered_bytes()) {
-                largest = session;
-            }
-        }
-        if (total <= max_buffered_bytes_) {
+/// Rejects the largest incomplete requests when all together, or all buffers of the process, exceed their
+/// bound.
+void http_server::limit_incomplete() {
+    while (!sessions_.empty() && (incomplete_->total() > max_buffered_bytes_ || process_.is_full())) {
+        const auto largest =
+            *std::max_element(sessions_.begin(), sessions_.end(), [](const auto& a, const auto& b) {
+                return a->incomplete_bytes() < b->incomplete_bytes();
+            });
+        const auto facts = largest->facts(clock_.now());
+        if (facts.incomplete_bytes <= max_small_message_bytes) {
             return;
         }
+        count("clients_closed_incomplete_request");
+        log(event::client_closed, {{"client", boost::asio::ip::make_address_v4(facts.address).to_string()},
+                                   {"reason", "incomplete_request"},
+                                   {"undelivered_bytes", facts.undelivered_bytes},
+                                   {"incomplete_bytes", facts.incomplete_bytes},
+                                   {"connections", sessions_.size()}});
         largest->reject_incomplete();
     }
 }
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -2,12 +2,14 @@
 // HTTP/1.1 server on the event loop: keep-alive, pipelining with ordered responses, limits on callers, and
 // detection of callers that disconnect.
 
+#include "sidecar/client_limits.h"
 #include "sidecar/http_message.h"
 #include "sidecar/stream.h"
 
 #include "endive/mesh.h"
 
 #include <limits>
+#include <map>
 #include <set>
 
 namespace endive::sidecar {
@@ -17,8 +19,12 @@
 /// A caller's request and its pending response. Not thread safe.
 class exchange {
 public:
-    exchange(std::weak_ptr<http_session> session, http_message request, time_point arrived)
-        : request_{std::move(request)}, session_{std::move(session)}, arrived_{arrived} {}
+    exchange(std::weak_ptr<http_session> session, http_message request, time_point arrived,
+             std::shared_ptr<byte_account> account = nullptr)
+        : request_{std::move(request)}, session_{std::move(session)}, arrived_{arrived}, held_{std::move(
+                                                                                             account)} {
+        held_.set(request_.body.size() > max_small_message_bytes ? request_.body.size() : 0);
+    }
     [[nodiscard]] http_message& request() { return request_; }
     [[nodiscard]] time_point arrived() const { return arrived_; }
     /// Sends the response; later calls are ignored.
@@ -33,12 +39,22 @@
     http_message request_;
     std::weak_ptr<http_session> session_;
     time_point arrived_;
+    byte_charge held_; ///< of a large body
     std::function<void()> on_abandoned_;
     bool finished_ = false;
 };
 
 using exchange_handler = std::function<void(const std::shared_ptr<exchange>&)>;
 
+/// The connections of one client address.
+struct client_address {
+    client_address(std::uint32_t number, std::shared_ptr<byte_account> parent)
+        : address{number}, undelivered{std::make_shared<byte_account>(std::move(parent))} {}
+    std::uint32_t address;
+    std::size_t connections = 0;
+    std::shared_ptr<byte_account> undelivered; ///< bytes of responses that the clients have not read
+};
+
 /// Listens on one address. Not thread safe.
 class http_server {
 public:
@@ -49,6 +65,9 @@
     /// From now on connections are closed after their last pending response, so that callers switch to
     /// another daemon.
     void start_draining();
+    /// Bounds connections and undelivered responses. What the server holds is charged to `process`; closed
+    /// clients are counted in `counters`, which may be null. Call before the first connection.
+    void set_bounds(const client_bounds& bounds, process_memory process, counter_set* counters);
     /// Limit for the bytes of all requests that have not been read whole.
     void set_buffer_limit(std::size_t bytes) { max_buffered_bytes_ = bytes; }
     /// Reads no more requests and accepts no more connections; pending requests are still answered. A caller
@@ -69,14 +88,36 @@
 
 private:
     friend class http_session;
-    void limit_buffered();
+    void limit_incomplete();
+    void limit_undelivered();
+    void limit_undelivered(const client_address& address);
+    void close_slow_readers(std::size_t target, std::optional<std::uint32_t> address = std::nullopt,
+                            duration unread_for = duration{0});
+    void release(client_address& address);
     void add_session(std::shared_ptr<stream> connection);
+    void remove_session(const std::shared_ptr<http_session>& session, client_address& address);
+    void count(const std::string& name);
+    bool make_room(const client_address& address);
+    void refuse(stream& connection, std::uint32_t address);
+    void close_client(const std::shared_ptr<http_session>& session, const client_facts& facts,
+                      std::string_view reason);
+    [[nodiscard]] std::pair<std::vector<std::shared_ptr<http_session>>, std::vector<client_facts>>
+    all_facts(time_point now) const;
+    /// More than half of a bound is used, so that connections get one request at a time.
+    [[nodiscard]] bool is_short() const;
     const clock_source& clock_;
     exchange_handler handler_;
     mesh::caller_limits limits_;
     bool draining_ = false;
     bool reading_ = true;
     std::size_t max_buffered_bytes_ = std::numeric_limits<std::size_t>::max();
+    client_bounds bounds_;
+    process_memory process_;
+    std::shared_ptr<byte_account> undelivered_ = std::make_shared<byte_account>(process_.account);
+    std::shared_ptr<byte_account> incomplete_ = std::make_shared<byte_account>(process_.account);
+    counter_set* counters_ = nullptr;
+    time_point next_room_search_{};
+    std::map<std::uint32_t, std::shared_ptr<client_address>> addresses_;
     std::set<std::shared_ptr<http_session>> sessions_;
     std::uint64_t accepted_connections_ = 0;
     std::shared_ptr<std::uint64_t> received_total_;
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -9,9 +9,12 @@
 #include <absl/flags/usage.h>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 ABSL_FLAG(std::string, settings, "",
@@ -40,10 +43,30 @@
     }
 }
 
+/// Makes large blocks go back to the system when they are freed. By default glibc raises the threshold with
+/// each such block, after which the memory of large messages stays with the process.
+void configure_allocator() {
+    constexpr int mmap_threshold_bytes = 128 * 1024;
+    constexpr int trim_threshold_bytes = 256 * 1024;
+    ::mallopt(M_MMAP_THRESHOLD, mmap_threshold_bytes);
+    ::mallopt(M_TRIM_THRESHOLD, trim_threshold_bytes);
+}
+
+/// The descriptors that the process may open, where the system allows fewer than the settings.
+std::int64_t available_descriptors(std::int64_t configured) {
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+        return configured;
+    }
+    return std::min(configured, static_cast<std::int64_t>(limit.rlim_cur));
+}
+
 void run(const endive::sidecar::sidecar_settings& settings) {
     boost::asio::io_context loop{1};
     const endive::boot_clock_source clock;
-    endive::sidecar::sidecar daemon{loop, clock, settings};
+    auto effective = settings;
+    effective.max_descriptors = available_descriptors(settings.max_descriptors);
+    endive::sidecar::sidecar daemon{loop, clock, effective};
     boost::asio::signal_set stop_signals{loop, SIGTERM, SIGINT};
     stop_signals.async_wait([&](boost::system::error_code code, int) {
         if (!code) {
@@ -72,6 +95,7 @@
         "Sidecar daemon of one backend server.\n  endive_sidecar [--settings FILE] [--check]");
     absl::ParseCommandLine(argc, argv);
     try {
+        configure_allocator();
         const auto settings = endive::sidecar::read_settings(settings_path());
         if (absl::GetFlag(FLAGS_check)) {
             return EXIT_SUCCESS;
--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -46,6 +46,12 @@
     : connection_{std::move(connection)}, clock_{clock}, local_{local}, events_{events}, last_received_{
                                                                                              clock.now()} {}
 
+void peer_link::set_buffers(const link_buffers& buffers) {
+    connection_->charge_queue(buffers.sending);
+    receiving_.move_to(buffers.receiving);
+    max_queued_bytes_ = buffers.max_queued_bytes;
+}
+
 void peer_link::start() {
     connection_->start([self = shared_from_this()](std::string_view bytes) { self->on_data(bytes); },
                        [self = shared_from_this()](stream_end) { self->end(); });
@@ -65,7 +71,7 @@
     const auto verified_for = call.kind == mesh::request_kind::safe ? verified_for_safe : verified_for_unsafe;
     if (now - last_received_ <= verified_for) {
         pending_[id] = std::move(done);
-        send(call);
+        send(std::move(call));
     } else {
         unverified_[id] = {std::move(call), std::move(done)};
         verify(now);
@@ -87,7 +93,7 @@
 void peer_link::send_unverified() {
     for (auto& [id, waiting] : std::exchange(unverified_, {})) {
         pending_[id] = std::move(waiting.done);
-        send(waiting.call);
+        send(std::move(waiting.call));
     }
 }
 
@@ -143,6 +149,8 @@
         reject(cause.what());
         return;
     }
+    decoder_.release_consumed();
+    receiving_.set(decoder_.buffered());
     if (decoder_.buffered() == 0) {
         incomplete_since_.reset();
     } else if (!incomplete_since_) {
@@ -189,13 +197,11 @@
     // The reply may arrive before `execute` returns.
     serving_[stream_id] = 0;
     const auto local_id =
-        local_.execute(std::move(call), [self = weak_from_this(), stream_id](const reply_message& reply) {
+        local_.execute(std::move(call), [self = weak_from_this(), stream_id](reply_message reply) {
             const auto link = self.lock();
             if (link && link->serving_.erase(stream_id) > 0) {
-                reply_message sent = reply;
-                sent.stream = stream_id;
-                link->send(sent);
-                link->reply_undelivered_ = true;
+                reply.stream = stream_id;
+                link->send_reply(std::move(reply));
             }
         });
     const auto found = serving_.find(stream_id);
@@ -204,6 +210,27 @@
     }
 }
 
+/// The other messages of a link must not wait behind more replies than it can carry, and the request has run:
+/// its outcome is reported as unknown.
+void peer_link::send_reply(reply_message reply) {
+    const bool is_large = reply.body.size() > max_small_message_bytes;
+    const auto queued = connection_->queued_bytes();
+    if (is_large && queued > 0 && queued + reply.body.size() > max_queued_bytes_) {
+        log(event::reply_discarded,
+            {{"peer", daemon_}, {"reply_bytes", reply.body.size()}, {"queued_bytes", queued}});
+        if (counters_ != nullptr) {
+            counters_->add("replies_discarded");
+        }
+        reply.outcome = mesh::attempt_outcome::unknown;
+        reply.why = mesh::reason::memory;
+        reply.status = 0;
+        reply.headers.clear();
+        reply.body = std::string{};
+    }
+    send(std::move(reply));
+    reply_undelivered_ = true;
+}
+
 bool peer_link::has_undelivered_reply() {
     reply_undelivered_ = reply_undelivered_ && connection_->is_undelivered();
     return reply_undelivered_;
--- a/src/sidecar/peer_link.h
+++ b/src/sidecar/peer_link.h
@@ -29,12 +29,22 @@
     virtual void on_down(const std::shared_ptr<peer_link>& link) = 0;
 };
 
+/// What the links of a daemon hold, and the bound of one of them.
+struct link_buffers {
+    std::shared_ptr<byte_account> sending = std::make_shared<byte_account>();   ///< queued by all links
+    std::shared_ptr<byte_account> receiving = std::make_shared<byte_account>(); ///< incomplete messages
+    std::size_t max_queued_bytes = SIZE_MAX; ///< on one link, for another large reply
+};
+
 /// Not thread safe.
 class peer_link final : public call_target, public std::enable_shared_from_this<peer_link> {
 public:
     /// `local` runs the calls received from the other daemon and must outlive the link.
     peer_link(std::shared_ptr<stream> connection, const clock_source& clock, call_target& local,
               peer_events& events);
+    /// Call before `start`. A large reply for which a link has no room is replaced by one with an unknown
+    /// outcome.
+    void set_buffers(const link_buffers& buffers);
     void start();
 
     /// On a link that has been silent for a while, the call is sent when the other daemon has answered a
@@ -82,6 +92,7 @@
     void on_data(std::string_view bytes);
     void on_message(peer_message message);
     void on_call(call_message call);
+    void send_reply(reply_message reply);
     void ping(time_point now);
     void send_unverified();
     void end_unverified(mesh::reason why);
@@ -92,6 +103,8 @@
     call_target& local_;
     peer_events& events_;
     frame_decoder decoder_{max_message_bytes};
+    byte_charge receiving_;
+    std::size_t max_queued_bytes_ = SIZE_MAX;
     std::optional<time_point> incomplete_since_; ///< first byte of a message that is not complete yet
     std::string daemon_;
     std::int64_t daemon_start_ = 0;
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -47,12 +47,18 @@
 std::shared_ptr<peer_link> peer_set::add_link(std::shared_ptr<stream> connection) {
     connection->count_received(received_total_);
     auto link = std::make_shared<peer_link>(std::move(connection), clock_, local_, *this);
+    link->set_buffers(buffers_);
     links_.insert(link);
     send_hello(*link);
     link->start();
     return link;
 }
 
+void peer_set::set_memory(const process_memory& memory) {
+    buffers_ = {std::make_shared<byte_account>(memory.account),
+                std::make_shared<byte_account>(memory.account), max_buffered_bytes_};
+}
+
 /// Sends the first announcement of a link: this daemon's member record and the heads of its rows.
 void peer_set::send_hello(peer_link& link) {
     announce_message hello;
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -80,6 +80,11 @@
     void verify_links(time_point now);
     /// The peers that do not stop; reachable are those with a link on which something was received since.
     [[nodiscard]] mesh::reachability heard_since(time_point since) const;
+    /// Charges what the links hold to `memory`. Call before the first link.
+    void set_memory(const process_memory& memory);
+    /// True when replies to other daemons wait in such a number that further ones should wait at the
+    /// endpoint.
+    [[nodiscard]] bool is_congested() const { return buffers_.sending->total() > buffers_.max_queued_bytes; }
     /// Adds the bytes received on links that are opened from now on to `total`.
     void count_received(std::shared_ptr<std::uint64_t> total) { received_total_ = std::move(total); }
     /// Open connections to peers, including retired and redundant ones.
@@ -120,6 +125,7 @@
     const clock_source& clock_;
     bool first_start_;
     std::size_t max_buffered_bytes_;
+    link_buffers buffers_;
     counter_set& counters_;
     endpoint_service& local_;
     const mesh::row_replica& rows_;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -20,6 +20,7 @@
     void stop();
 
 private:
+    void limit_buffers();
     void on_readiness_call(const std::shared_ptr<exchange>& request);
     void on_announcement(const std::shared_ptr<exchange>& request);
     void on_heartbeat(const std::shared_ptr<exchange>& request, const std::string& endpoint_id);
--- a/src/sidecar/stream.cpp
+++ b/src/sidecar/stream.cpp
@@ -4,8 +4,6 @@
 
 #include "endive/base.h"
 
-#include <boost/asio/write.hpp>
-
 #include <array>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
@@ -109,47 +107,75 @@
     if (!open_ || write_failed_ || bytes->empty()) {
         return;
     }
+    queued_.set(queued_.bytes() + bytes->size());
     queue_.push_back(std::move(bytes));
-    write_next();
+    write_queued();
 }
 
-void stream::write_next() {
-    if (writing_ || !open_ || write_failed_) {
-        return;
-    }
-    if (queue_.empty()) {
-        if (finish_after_write_) {
-            error_code ignored; // the peer may have disconnected already
-            socket_.shutdown(tcp::socket::shutdown_send, ignored);
+void stream::write_queued() {
+    while (open_ && !write_failed_ && !waiting_writable_ && !queue_.empty()) {
+        std::array<boost::asio::const_buffer, max_write_buffers> buffers;
+        std::size_t count = 0;
+        for (const auto& bytes : queue_) {
+            if (count == buffers.size()) {
+                break;
+            }
+            buffers.at(count) = boost::asio::buffer(*bytes);
+            if (count++ == 0) {
+                buffers.front() += front_written_;
+            }
         }
-        return;
+        error_code code;
+        const auto size = socket_.write_some(std::span{buffers.data(), count}, code);
+        if (code == boost::asio::error::would_block) {
+            wait_writable();
+            return;
+        }
+        if (code) {
+            // Data that the other side sent before it stopped reading can still be read; the read side
+            // detects the end.
+            discard_queue();
+            write_failed_ = true;
+            return;
+        }
+        remove_written(size);
     }
-    std::vector<boost::asio::const_buffer> buffers;
-    for (const auto& bytes : queue_) {
-        if (buffers.size() == max_write_buffers) {
-            break;
+    if (finish_after_write_ && open_ && queue_.empty() && !write_failed_) {
+        error_code ignored; // the peer may have disconnected already
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+}
+
+void stream::wait_writable() {
+    waiting_writable_ = true;
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code) {
+        self->waiting_writable_ = false;
+        if (!self->open_) {
+            return;
+        }
+        const auto before = self->written_;
+        self->write_queued(); // a failed connection reports its error here
+        if (self->on_sent_ && self->written_ > before) {
+            const auto handler = self->on_sent_; // `close` inside the handler resets the member
+            run_guarded("sent data", handler);
         }
-        buffers.push_back(boost::asio::buffer(*bytes));
+    });
+}
+
+void stream::remove_written(std::size_t size) {
+    written_ += size;
+    front_written_ += size;
+    while (!queue_.empty() && front_written_ >= queue_.front()->size()) {
+        front_written_ -= queue_.front()->size();
+        queued_.set(queued_.bytes() - queue_.front()->size());
+        queue_.pop_front();
     }
-    const auto count = buffers.size();
-    writing_ = true;
-    boost::asio::async_write(socket_, buffers,
-                             [self = shared_from_this(), count](error_code code, std::size_t) {
-                                 self->writing_ = false;
-                                 if (!self->open_) {
-                                     return;
-                                 }
-                                 if (code) {
-                                     // Data that the other side sent before it stopped reading can still
-                                     // be read; the read side detects the end.
-                                     self->queue_.clear();
-                                     self->write_failed_ = true;
-                                     return;
-                                 }
-                                 const auto sent = static_cast<std::ptrdiff_t>(count);
-                                 self->queue_.erase(self->queue_.begin(), self->queue_.begin() + sent);
-                                 self->write_next();
-                             });
+}
+
+void stream::discard_queue() {
+    queue_.clear();
+    front_written_ = 0;
+    queued_.set(0);
 }
 
 bool stream::is_undelivered() {
@@ -169,7 +195,7 @@
 
 void stream::finish_sending() {
     finish_after_write_ = true;
-    write_next();
+    write_queued();
 }
 
 void stream::end(stream_end how) {
@@ -186,18 +212,29 @@
         return;
     }
     open_ = false;
+    discard_queue();
     error_code ignored; // a failed close cannot be handled
     socket_.close(ignored);
     // Reset later, since the handlers may be running and often hold a reference to their owner.
     boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
         self->on_data_ = nullptr;
         self->on_end_ = nullptr;
-        if (!self->writing_) {
-            self->queue_.clear();
-        }
+        self->on_sent_ = nullptr;
     });
 }
 
+void stream::abort() {
+    error_code ignored; // the connection may have failed already
+    socket_.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+    close();
+}
+
+std::uint32_t stream::remote_address() const {
+    error_code code;
+    const auto remote = socket_.remote_endpoint(code);
+    return code || !remote.address().is_v4() ? 0 : remote.address().to_v4().to_uint();
+}
+
 void connect_stream(boost::asio::io_context& loop, const tcp::endpoint& address,
                     std::chrono::nanoseconds timeout, std::function<void(std::shared_ptr<stream>)> done) {
     struct attempt {
@@ -267,7 +304,9 @@
             break;
         }
         if (code) {
-            log(event::accept_failed, {{"reason", code.message()}});
+            if (!std::exchange(failing_, true)) {
+                log(event::accept_failed, {{"reason", code.message()}});
+            }
             retry_.expires_after(accept_retry_delay);
             retry_.async_wait([this](error_code cancelled) {
                 if (!cancelled) {
@@ -276,6 +315,7 @@
             });
             return;
         }
+        failing_ = false;
         run_guarded("accepted connection",
                     [&] { on_connection_(std::make_shared<stream>(std::move(socket))); });
         if (!acceptor_.is_open()) {
--- a/tests/sidecar/http_server_test.cpp
+++ b/tests/sidecar/http_server_test.cpp
@@ -151,6 +151,62 @@
     CHECK(f.wait_for(1));
 }
 
+// Load: silent connections take all descriptors. Guards against a listener that accepts none for the idle
+// timeout.
+TEST_CASE(
+    "the longest idle connections are closed for new ones, and a new one is refused when none is idle") {
+    fixture f;
+    f.server.set_bounds({.connections = 2, .connections_per_address = 2}, {}, nullptr);
+    raw_client silent{f.loop, f.address};
+    f.clock.advance(2s);
+    raw_client busy{f.loop, f.address};
+    busy.send(get("/a"));
+    REQUIRE(f.wait_for(1));
+    raw_client next{f.loop, f.address};
+    next.send(get("/b"));
+    REQUIRE(f.wait_for(2));
+    CHECK(run_until(f.loop, [&] { return silent.ended(); }));
+    raw_client refused{f.loop, f.address};
+    CHECK(run_until(f.loop, [&] { return refused.ended(); }));
+    f.answer(0, "one");
+    CHECK(busy.expect("one"));
+    CHECK(f.server.session_count() == 2);
+}
+
+// Load: clients that read nothing of long responses, beside one that reads.
+TEST_CASE("a client that does not read is closed beyond the bound, and one that reads gets its response") {
+    constexpr std::size_t response_bytes = 16UL * 1024 * 1024; // more than the kernel buffers
+    fixture f;
+    counter_set counters;
+    f.server.set_bounds({.undelivered = response_bytes * 3 / 2}, {}, &counters);
+    stalled_client stalled{f.loop, f.address};
+    stalled.send(get("/a"));
+    REQUIRE(f.wait_for(1));
+    f.answer(0, std::string(response_bytes, 'x'));
+    f.clock.advance(3s);
+    raw_client reader{f.loop, f.address};
+    reader.send(get("/b"));
+    REQUIRE(f.wait_for(2));
+    f.answer(1, std::string(response_bytes, 'y') + "end");
+    CHECK(reader.expect("yend"));
+    CHECK(counters.values().at("clients_closed_slow_reader") == 1);
+    CHECK(f.server.session_count() == 1);
+}
+
+TEST_CASE("the next request of a connection waits while its responses are unread") {
+    constexpr std::size_t response_bytes = 16UL * 1024 * 1024;
+    fixture f;
+    stalled_client client{f.loop, f.address};
+    client.send(get("/a"));
+    REQUIRE(f.wait_for(1));
+    f.answer(0, std::string(response_bytes, 'x'));
+    client.send(get("/b"));
+    run_steps(f.loop, 20);
+    CHECK(f.requests.size() == 1);
+    client.read(response_bytes);
+    CHECK(f.wait_for(2));
+}
+
 // Load pattern: a planned stop under load at the end of its grace time. Guards against requests that are read
 // just before the process ends and cut off without a response.
 TEST_CASE("a server that has stopped reading answers pending requests and leaves later ones unread") {
