Reject responses with a status that is no final one

Cause: endive_sidecar took every status below 200 for an interim response and every other one for a final response. An endpoint in trouble sent 000: the request held its slot until its deadline. 600 to 999 were delivered, in endived too; there 000 to 099 were an error.

Change: a status outside 100 to 599 ends the request with an unknown outcome, at the endpoint and, for replies of daemons of an earlier version, on the caller's side. endived answers 502 with outcome unknown.

The tests fail before: endpoint_client_test on 000 (no result), faults_test on 600 and 999 (delivered).

--- a/src/backends/connection.cpp
+++ b/src/backends/connection.cpp
@@ -68,9 +68,13 @@
 
 void end_head(response_buffer& buffer) {
     const auto status = buffer.head.status;
-    if (status < 200) {
+    if (status >= 100 && status < 200) {
         return; // interim response; the final one follows
     }
+    if (status < 200 || status > 599) {
+        buffer.bad_status = true;
+        return;
+    }
     buffer.head.framing.body_allowed = !buffer.no_body_request && status != 204 && status != 304;
     buffer.head_complete = true;
 }
@@ -88,6 +92,9 @@
     }
     if (line.empty()) {
         end_head(buffer);
+        if (buffer.bad_status) {
+            return 0;
+        }
     } else if (line.substr(0, 5) == "HTTP/" && line.find(':') > line.find(' ')) {
         begin_head(buffer, line);
     } else {
--- a/src/backends/connection.h
+++ b/src/backends/connection.h
@@ -18,6 +18,7 @@
     bool head_complete = false;
     bool paused = false;
     bool no_body_request = false;
+    bool bad_status = false;   ///< not that of an interim or final response
     bool unverifiable = false; ///< the body would end with the connection
 };
 
--- a/src/sidecar/endpoint_client.cpp
+++ b/src/sidecar/endpoint_client.cpp
@@ -172,7 +172,11 @@
     conn->reader.reset();
     set_buffered(*conn, 0);
     const bool may_skip = conn->skipped_responses++ < max_skipped_responses;
-    const bool is_interim = response.status < 200;
+    const bool is_interim = is_interim_status(response.status);
+    if (!is_interim && !is_final_status(response.status)) {
+        complete(conn, {mesh::attempt_outcome::unknown, mesh::reason::bad_response, {}});
+        return false;
+    }
     if (is_interim && may_skip) {
         return true;
     }
--- a/src/sidecar/http_message.h
+++ b/src/sidecar/http_message.h
@@ -30,6 +30,15 @@
     bool expects_continue = false;
 };
 
+/// True for the status of an interim response, which the final one follows.
+[[nodiscard]] constexpr bool is_interim_status(unsigned status) {
+    return status >= 100 && status < 200;
+}
+/// True for a status that a final response may have.
+[[nodiscard]] constexpr bool is_final_status(unsigned status) {
+    return status >= 200 && status < 600;
+}
+
 /// Serializes the head of a request. It has a Content-Length when there is a body or the method implies one.
 [[nodiscard]] std::string serialize_request_head(const http_message& request);
 /// Serializes the head of a response. `close` adds `Connection: close`.
--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -180,6 +180,10 @@
             local_.cancel(local_id);
         }
     } else if (auto* reply = std::get_if<reply_message>(&message)) {
+        if (reply->outcome == mesh::attempt_outcome::answered && !is_final_status(reply->status)) {
+            reply->outcome = mesh::attempt_outcome::unknown;
+            reply->why = mesh::reason::bad_response;
+        }
         events_.on_load(self, reply->load);
         const auto found = pending_.find(reply->stream);
         if (found != pending_.end()) {
--- a/tests/callers/faults_test.cpp
+++ b/tests/callers/faults_test.cpp
@@ -90,6 +90,20 @@
     }
 }
 
+// Guards against a status of an endpoint in trouble that reaches the caller as a response.
+TEST_CASE("a status outside 200 to 599 is an error") {
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        const auto bytes = "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok";
+        scripted_backend backend{[&](const script_request&) { return script_step{bytes, 0ms, true}; }};
+        proxy_fixture proxy{{backend.address()}};
+        const auto response = call(proxy.server.port(), "POST", "/pay", {}, "x");
+        INFO(status << "\n" << response.head);
+        CHECK(response.status == 502);
+        CHECK(has_outcome(response, "unknown"));
+        CHECK(backend.executions() == 1);
+    }
+}
+
 // Guards against a response head without end that takes the memory of the VM.
 TEST_CASE("a response head that goes on beyond the limit is an error") {
     constexpr std::size_t endless = 8UL * 1024 * 1024;
--- a/tests/sidecar/endpoint_client_test.cpp
+++ b/tests/sidecar/endpoint_client_test.cpp
@@ -255,3 +255,25 @@
     CHECK(result->outcome == mesh::attempt_outcome::unknown);
     CHECK(result->why == mesh::reason::connection_lost);
 }
+
+// Guards against statuses that are no final response: delivered, or taken for an interim response, after
+// which the request holds its slot until its deadline.
+TEST_CASE("a status outside 200 to 599 is not a response") {
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        fixture f{[&](const std::shared_ptr<stream>& connection, std::string& input) {
+            if (is_complete_request(input)) {
+                input.clear();
+                connection->send("HTTP/1.1 " + status +
+                                 " X\r\nX-Request-Id: 1\r\nContent-Length: 2\r\n\r\nok");
+            }
+        }};
+        INFO(status);
+        std::optional<endpoint_result> result;
+        f.client.send(request(), "1", [&](endpoint_result value) { result = std::move(value); });
+        run_until(f.loop, [&] { return result.has_value() || f.server.ended() > 0; });
+        REQUIRE(result.has_value());
+        CHECK(result->outcome == mesh::attempt_outcome::unknown);
+        CHECK(result->why == mesh::reason::bad_response);
+        CHECK(f.client.idle_connections() == 0);
+    }
+}
