--- a/tests/sidecar/endpoint_client_test.cpp
+++ b/tests/sidecar/endpoint_client_test.cpp
@@ -277,3 +277,30 @@
         CHECK(f.client.idle_connections() == 0);
     }
 }
+
+// Load: endpoints answer faster than other daemons take the replies. Guards against replies that are queued
+// without bound.
+TEST_CASE("a long response waits at the endpoint while replies are congested") {
+    constexpr std::size_t response_bytes = 900UL * 1024;
+    fixture f{[](const std::shared_ptr<stream>& connection, std::string& input) {
+        if (is_complete_request(input)) {
+            input.clear();
+            connection->send(response("1", std::string(response_bytes, 'x')));
+        }
+    }};
+    bool congested = true;
+    const process_memory memory;
+    f.client.set_memory(memory, [&] { return congested; });
+    std::optional<endpoint_result> result;
+    f.client.send(request(), "1", [&](endpoint_result value) { result = std::move(value); });
+    REQUIRE(run_until(f.loop, [&] { return f.client.buffered_bytes() > max_small_message_bytes; }));
+    run_steps(f.loop, 20);
+    CHECK_FALSE(result.has_value());
+    CHECK(f.client.buffered_bytes() < response_bytes / 2);
+    CHECK(memory.account->total() >= f.client.buffered_bytes());
+    congested = false;
+    f.client.resume_waiting();
+    REQUIRE(run_until(f.loop, [&] { return result.has_value(); }));
+    CHECK(result->response.body.size() == response_bytes);
+    CHECK(memory.account->total() == 0);
+}
