--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -17,8 +17,6 @@
 constexpr std::uint64_t max_own_request_bytes = 64UL * 1024;
 /// Requests of callers that have not been read whole may take the process's memory divided by this.
 constexpr std::size_t incomplete_memory_divisor = 8;
-/// Maximum connections of each server for readiness, announcements and metrics.
-constexpr std::size_t max_own_connections = 32;
 constexpr duration reader_selection_interval = milliseconds{200};
 /// Number of consecutive missed heartbeats after which an endpoint is absent.
 constexpr int max_missed_heartbeats = 4;
@@ -127,23 +125,6 @@
 
 sidecar::~sidecar() = default;
 
-/// Bounds what clients and peers make the process hold.
-void sidecar::limit_buffers() {
-    const process_memory memory{std::make_shared<byte_account>(),
-                                process_buffer_bound(settings_.memory_part(1))};
-    const auto descriptors = static_cast<std::size_t>(settings_.max_descriptors);
-    callers_.set_bounds(caller_bounds(descriptors, settings_.memory_part(1)), memory, &counters_);
-    const client_bounds own{.connections = max_own_connections,
-                            .connections_per_address = max_own_connections};
-    for (auto* server : {&readiness_, &announcements_, metrics_.get()}) {
-        if (server != nullptr) {
-            server->set_bounds(own, memory, &counters_);
-        }
-    }
-    peers_.set_memory(memory);
-    local_.set_memory(memory, [this, memory] { return peers_.is_congested() || memory.is_short(); });
-}
-
 void sidecar::start() {
     started_ = clock_.now();
     publish_self();
