Shorten watches with fail_closed while the store answers late

Cause: a watch waits 0.7 s whatever the store's answer then takes, so with a store that takes 0.4 s longer the knowledge of keys was up to 2.2 s old instead of 1.4 s when the last path to the store was lost, and callers were served for less than 3 s after it. Change: the next watch waits less by the delay of the last one, at least 0.3 s. Without fail_closed watches are as before. The ages are computed from the constants, not measured.

--- a/src/sidecar/store_client.cpp
+++ b/src/sidecar/store_client.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds pause_after_change{400};
 /// Time in which the first bytes of an answer that the store already has arrive, or its next bytes.
 constexpr duration answer_timeout = milliseconds{300};
+/// Wait of the first watch after such a delay, if it has to be shown equally often that a row is current.
+constexpr milliseconds min_watch_wait = watch_wait - pause_after_change;
 constexpr duration min_retry_delay = milliseconds{150};
 /// The end of an outage is not announced, and entries must be restored within two seconds after it.
 constexpr duration max_retry_delay = milliseconds{700};
@@ -303,6 +305,15 @@
     }
 }
 
+/// While the store answers late, shorter watches show equally often that a row is current.
+milliseconds table_follower::next_wait() const {
+    if (!on_current_) {
+        return watch_wait;
+    }
+    const auto delay = std::chrono::duration_cast<milliseconds>(answer_delay_);
+    return std::clamp(watch_wait - delay, min_watch_wait, watch_wait);
+}
+
 void table_follower::continue_reading(const platform_wire::rows_page& page) {
     record_proven_row(page.rows);
     on_rows_(page.rows);
@@ -338,14 +349,14 @@
     wait = healthy_ == false ? probe_wait : wait;
     connection_.call(platform_wire::watch_rows(table_, version_, wait),
                      call_timeouts{wait + watch_slack, watch_stall_timeout, watch_total_timeout},
-                     [this](const store_answer& answer) {
+                     [this, wait](const store_answer& answer) {
                          if (active_) {
-                             on_watched(answer);
+                             on_watched(answer, wait);
                          }
                      });
 }
 
-void table_follower::on_watched(const store_answer& answer) {
+void table_follower::on_watched(const store_answer& answer, milliseconds wait) {
     if (answer.status == status_gone) {
         log(event::store_history_gone, {{"table", table_}, {"after", version_}});
         (void)update_era(answer.era);
@@ -364,6 +375,9 @@
     try {
         const auto page = platform_wire::decode_rows(answer.body, answer.era);
         set_available();
+        if (page.rows.empty()) {
+            answer_delay_ = std::max(duration{0}, answer.waited - wait);
+        }
         continue_watching(page, answer.sent);
     } catch (const std::exception& cause) {
         log_malformed_answer(table_, cause);
@@ -381,11 +395,11 @@
         report_current(sent);
     }
     if (page.rows.empty()) {
-        watch(watch_wait);
+        watch(next_wait());
         return;
     }
-    const auto next_wait = on_current_ ? watch_wait - pause_after_change : watch_wait;
-    schedule(pause_after_change, [this, next_wait] { watch(next_wait); });
+    const auto wait = on_current_ ? min_watch_wait : watch_wait;
+    schedule(pause_after_change, [this, wait] { watch(wait); });
 }
 
 } // namespace endive::sidecar
--- a/src/sidecar/store_client.h
+++ b/src/sidecar/store_client.h
@@ -90,7 +90,8 @@
                    std::function<void(bool)> on_health);
     /// `on_current` is called after an answer has shown that `version` was the newest version of the row with
     /// this key when the read or watch was sent, at `sent`. An answer that shows no such row proves nothing.
-    /// Watches after a change are then shorter, so that this is shown equally often.
+    /// Watches after a change, and while the store answers late, are then shorter, so that this is
+    /// shown equally often.
     void prove(std::string key, std::function<void(time_point sent, std::uint64_t version)> on_current) {
         proven_key_ = std::move(key);
         on_current_ = std::move(on_current);
@@ -111,11 +112,12 @@
     void read(const std::string& from);
     void on_read(const std::string& from, const store_answer& answer);
     void watch(milliseconds wait);
-    void on_watched(const store_answer& answer);
+    void on_watched(const store_answer& answer, milliseconds wait);
     void continue_reading(const platform_wire::rows_page& page);
     void continue_watching(const platform_wire::rows_page& page, time_point sent);
     /// True when the store has been restored since the last answer, so that `version_` means nothing.
     [[nodiscard]] bool update_era(std::uint32_t era);
+    [[nodiscard]] milliseconds next_wait() const;
     void record_proven_row(const std::vector<mesh::store_row>& rows);
     void report_current(time_point sent);
     void retry(std::string_view call, const store_answer& answer, std::function<void()> step);
@@ -142,6 +144,7 @@
     std::uint64_t proven_version_ = 0;
     duration retry_delay_{0};
     bool pausing_ = false;
+    duration answer_delay_{0};    ///< of the last watch that ended without a change, beyond its wait
     std::optional<bool> healthy_; ///< empty before the first answer since the start
 };
 
--- a/tests/sidecar/key_proofs_test.cpp
+++ b/tests/sidecar/key_proofs_test.cpp
@@ -118,3 +118,13 @@
     CHECK(clients.back()->received().find("keys_stale") != std::string::npos);
     CHECK(f.back->expected_ids.size() == served + 4);
 }
+
+// Guards against knowledge that is older when the store answers late, so that too little time is left to serve
+// callers after a loss.
+TEST_CASE("watches are shorter while the store answers late") {
+    fail_closed_fixture f;
+    f.start_proven();
+    REQUIRE_FALSE(f.store.waited(300ms));
+    f.clock.advance(1200ms); // the answers to the open watches come late by at least 500 ms
+    CHECK(f.until([&] { return f.store.waited(300ms); }));
+}
--- a/tests/sidecar/store_stand_in.h
+++ b/tests/sidecar/store_stand_in.h
@@ -65,6 +65,8 @@
         }
     }
     [[nodiscard]] int calls() const { return calls_; }
+    /// True when a watch was received that asked to wait for this long.
+    [[nodiscard]] bool waited(milliseconds wait) const { return waits_.contains(wait); }
     /// Number of watches received so far.
     [[nodiscard]] int watches() const { return watch_calls_; }
 
@@ -133,6 +135,7 @@
         } else if (request.target.starts_with("/-/rows-feed")) {
             ++watch_calls_;
             const milliseconds wait{std::stoi(parameter(request.target, "WaitMs"))};
+            waits_.insert(wait);
             const auto after = std::stoull(parameter(request.target, "after"));
             if (after > version_) {
                 reply(call, 410, json::object());
@@ -202,6 +205,7 @@
     bool unavailable_ = false;
     int calls_ = 0;
     int watch_calls_ = 0;
+    std::set<milliseconds> waits_;
     http_server server_;
 };
 
