Choose endpoints by expected cost

Cause: the choice and the gate expected every request of an endpoint to take the same share of its latency target, and counted requests where some take several times as long as others. Change: callers learn the work of requests from the service time in replies and send it along; the endpoint's daemon reports the remaining work and the pace of its endpoint, and the choice weighs both. A change of the pace is reported at once. The gate plans by the cost of the request and the pace. Without a known cost, choice and gate decide as before.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -448,12 +448,15 @@
     endpoint_load load;
     std::uint32_t sent_since_load = 0; ///< requests sent that `load` does not include yet
     std::uint32_t failures = 0;        ///< consecutive failures
+    duration work_since_load{0};       ///< expected work of the requests of `sent_since_load`
     friend auto operator<=>(const candidate&, const candidate&) = default;
 };
 
 struct choice_request {
     std::size_t body_bytes = 0;
     duration latency_target{0};
+    duration expected_cost{0};   ///< at an endpoint of usual pace; zero when unknown
+    double cost_variation = 0.5; ///< standard deviation relative to `expected_cost`
     friend auto operator<=>(const choice_request&, const choice_request&) = default;
 };
 
@@ -517,6 +520,7 @@
     time_point target;         ///< a response before it is on time
     time_point deadline;       ///< a response after it is useless to the caller
     bool only_if_free = false; ///< answered `busy` instead of queued
+    duration expected_cost{0}; ///< at an endpoint of usual pace; zero when unknown
     friend auto operator<=>(const gate_request&, const gate_request&) = default;
 };
 
@@ -537,6 +541,8 @@
 class endpoint_gate {
 public:
     void set_slots(std::uint32_t slots) { slots_ = slots; }
+    /// How long work takes at the endpoint now, relative to the usual.
+    void set_pace(double pace) { pace_ = pace; }
     /// While the endpoint is not ready no request starts, and queued requests are refused.
     [[nodiscard]] std::vector<gate_action> set_ready(bool ready, time_point now);
     [[nodiscard]] std::vector<gate_action> offer(const gate_request& request, time_point now);
@@ -555,8 +561,9 @@
 
 private:
     [[nodiscard]] duration typical_service_time() const;
-    /// Expected service time of a request with this latency target.
+    /// Expected service time of a request with this latency target whose cost is unknown.
     [[nodiscard]] duration expected_service_time(duration latency_target) const;
+    [[nodiscard]] duration expected_service_time(const gate_request& request) const;
     [[nodiscard]] duration expected_wait(std::size_t position) const;
     [[nodiscard]] bool goes_before(const gate_request& a, const gate_request& b, time_point now) const;
     void record_service_time(duration service_time, duration latency_target);
@@ -569,6 +576,7 @@
     enum class lateness : std::uint8_t { on_time, uncertain, late };
     [[nodiscard]] lateness lateness_of(const gate_request& request, time_point now) const;
     std::uint32_t slots_ = 1;
+    double pace_ = 1;
     bool ready_ = false;
     duration service_time_{0};
     duration long_term_service_time_{0}; ///< averaged over more responses
--- a/src/mesh/choice.cpp
+++ b/src/mesh/choice.cpp
@@ -35,6 +35,8 @@
 constexpr double full_load_slowdown = 0.6;
 /// Service times are modelled as log-normal; this is the standard deviation of their logarithm.
 constexpr double service_time_sigma = 0.5;
+/// Least standard deviation of the logarithm: the pace of an endpoint changes during the run.
+constexpr double min_service_time_sigma = 0.25;
 /// Weight of the expected time relative to the probability of a late response: of two endpoints that are
 /// certain to be on time, the faster one is preferred.
 constexpr double time_weight = 0.05;
@@ -52,6 +54,9 @@
 constexpr duration full_change_interval = milliseconds{300};
 constexpr duration large_change_interval = milliseconds{400};
 constexpr duration small_change_interval = milliseconds{1000};
+/// A change of the pace by this factor is reported like one by half of the slots: periods in which a VM is
+/// slow take about half a second.
+constexpr double large_pace_change = 1.4;
 /// A change of the link's use by this much is reported like one by half of the slots, while the link is used
 /// by more than that: bodies avoid it only then.
 constexpr double large_link_change = 0.15;
@@ -66,12 +71,11 @@
 constexpr duration time_tolerance = milliseconds{20};
 
 /// Probability that a request with this expected time misses its target.
-double late_probability(double expected_ratio) {
+double late_probability(double expected_ratio, double sigma) {
     if (expected_ratio <= 0) {
         return 0;
     }
-    const double deviations =
-        (std::log(expected_ratio) + service_time_sigma * service_time_sigma / 2) / service_time_sigma;
+    const double deviations = (std::log(expected_ratio) + sigma * sigma / 2) / sigma;
     return 0.5 * std::erfc(-deviations / std::numbers::sqrt2);
 }
 
@@ -82,19 +86,40 @@
     return link_cost_per_byte * static_cast<double>(body_bytes) * queueing;
 }
 
+/// True when the work at the endpoint and the cost of the request are known.
+bool knows_work(const candidate& option, const choice_request& request) {
+    return request.expected_cost > duration{0} &&
+           (option.load.work > duration{0} || option.load.outstanding == 0);
+}
+
+double service_time_deviation(const candidate& option, const choice_request& request) {
+    if (!knows_work(option, request)) {
+        return service_time_sigma;
+    }
+    const double variance = std::log1p(request.cost_variation * request.cost_variation);
+    return std::max(min_service_time_sigma, std::sqrt(variance));
+}
+
 } // namespace
 
 duration expected_time(const candidate& option, const choice_request& request) {
     const double slots = std::max(1U, option.load.slots);
     const double outstanding = option.load.outstanding + option.sent_since_load;
     const double utilization = std::min(1.0, outstanding / slots);
-    const double slowness = option.load.slowness > 0 ? option.load.slowness : initial_slowness;
-    const auto run = std::chrono::duration<double, std::nano>(request.latency_target) * slowness *
-                     (1.0 + full_load_slowdown * utilization * utilization);
+    const double slowdown = 1.0 + full_load_slowdown * utilization * utilization;
     const double ahead = std::max(0.0, outstanding + 1 - slots);
-    const auto typical = option.load.service_time > duration{0}
-                             ? std::chrono::duration<double, std::nano>(option.load.service_time)
-                             : run;
+    using nanoseconds = std::chrono::duration<double, std::nano>;
+    nanoseconds run{0};
+    nanoseconds typical{0}; // time after which a request that is ahead leaves its slot
+    if (knows_work(option, request)) {
+        run = nanoseconds(request.expected_cost) * (option.load.pace * slowdown);
+        typical = nanoseconds(option.load.work + option.work_since_load) *
+                  (option.load.pace / std::max(1.0, outstanding));
+    } else {
+        const double slowness = option.load.slowness > 0 ? option.load.slowness : initial_slowness;
+        run = nanoseconds(request.latency_target) * (slowness * slowdown);
+        typical = option.load.service_time > duration{0} ? nanoseconds(option.load.service_time) : run;
+    }
     auto total = std::chrono::duration_cast<duration>(run + typical * (ahead / slots));
     if (!option.local) {
         total += option.same_domain ? remote_latency : remote_latency + cross_domain_latency;
@@ -105,7 +130,7 @@
 double choice_cost(const candidate& option, const choice_request& request) {
     const double target = std::max(1.0, static_cast<double>(request.latency_target.count()));
     const double ratio = static_cast<double>(expected_time(option, request).count()) / target;
-    double cost = late_probability(ratio) + time_weight * ratio;
+    double cost = late_probability(ratio, service_time_deviation(option, request)) + time_weight * ratio;
     if (!option.local) {
         cost += link_cost(option.load.link_use, request.body_bytes);
     }
@@ -154,9 +179,12 @@
         const auto [less_use, more_use] = std::minmax(load.link_use, reported_->link_use);
         const bool link_changed =
             more_use - less_use >= large_link_change && more_use >= 2 * large_link_change;
+        const auto [less_pace, more_pace] = std::minmax(load.pace, reported_->pace);
+        const bool pace_changed = more_pace >= large_pace_change * less_pace;
         const bool became_idle = !load.accepting && load.outstanding == 0 && reported_->outstanding > 0;
         due = load.accepting != reported_->accepting || became_idle ||
               (link_changed && since >= min_report_interval) ||
+              (pace_changed && since >= min_report_interval) ||
               (full_changed && since >= limited(full_change_interval)) ||
               (change * 2 >= load.slots && since >= limited(large_change_interval)) ||
               (change >= std::max(2U, load.slots / 4) && since >= limited(small_change_interval));
--- a/src/mesh/gate.cpp
+++ b/src/mesh/gate.cpp
@@ -53,6 +53,11 @@
     return scaled(latency_target, slowness_ > 0 ? slowness_ : initial_slowness);
 }
 
+duration endpoint_gate::expected_service_time(const gate_request& request) const {
+    return request.expected_cost > duration{0} ? scaled(request.expected_cost, pace_)
+                                               : expected_service_time(request.latency_target);
+}
+
 duration endpoint_gate::expected_wait(std::size_t position) const {
     if (running_.size() < slots_) {
         return duration{0};
@@ -61,7 +66,7 @@
 }
 
 endpoint_gate::lateness endpoint_gate::lateness_of(const gate_request& request, time_point now) const {
-    const auto service_time = expected_service_time(request.latency_target);
+    const auto service_time = expected_service_time(request);
     if (now + scaled(service_time, on_time_factor) <= request.target) {
         return lateness::on_time;
     }
@@ -184,8 +189,7 @@
             });
         const auto request = *next;
         queue_.erase(next);
-        if (now + scaled(expected_service_time(request.latency_target), min_feasible_share) >
-            request.deadline) {
+        if (now + scaled(expected_service_time(request), min_feasible_share) > request.deadline) {
             out.push_back({request.ticket, gate_verdict::refused,
                            std::max(min_retry_after, expected_wait(queue_.size()))});
             continue;
@@ -216,8 +220,7 @@
         arrival.target = now + waiting.latency_target;
         const bool yields = lateness_of(waiting, now + wait) > lateness_of(arrival, now);
         const auto start = now + (yields ? scaled(wait, yield_factor) : wait);
-        if (start + scaled(expected_service_time(waiting.latency_target), min_feasible_share) >
-            waiting.deadline) {
+        if (start + scaled(expected_service_time(waiting), min_feasible_share) > waiting.deadline) {
             remove(waiting.ticket);
             out.push_back({waiting.ticket, gate_verdict::refused, retry_delay});
         } else {
--- a/src/sidecar/active_request.h
+++ b/src/sidecar/active_request.h
@@ -28,6 +28,9 @@
 struct attempt_trace {
     std::string daemon;
     duration expected{0};
+    duration expected_cost{0};     ///< at an endpoint of usual pace; zero when unknown
+    double pace = 1;               ///< of the endpoint, as last reported
+    duration service_time{0};      ///< that the endpoint took; zero when it did not answer
     std::uint32_t outstanding = 0; ///< as last reported
     duration load_age{0};
     time_point sent;
@@ -74,6 +77,7 @@
     std::uint64_t target = 0;         ///< hash of host and target
     time_point caller_deadline;       ///< without the route's timeout
     std::uint32_t refused_before = 0; ///< earlier attempts of the caller that were refused
+    scheduling::cost_key cost_key;
     version_choice version;
     std::vector<attempt_trace> attempts;
     std::uint32_t sent = 0; ///< ended attempts that reached an endpoint or may have done so
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -41,6 +41,7 @@
     std::string version;
     bool cold = false;
     byte_charge held; ///< of the body until it is sent
+    priced_request priced;
 };
 
 endpoint_service::endpoint_service(boost::asio::io_context& loop, const clock_source& clock,
@@ -78,8 +79,9 @@
     item->held.move_to(memory_.account);
     item->held.set(item->call.body.size());
     const auto target = now + item->call.latency_target - item->call.waited;
+    item->priced = costs_.on_arrival(item->id, item->call, gate_.load().slowness, now);
     apply(gate_.offer({item->id, item->call.priority, item->call.latency_target, target, item->deadline,
-                       item->call.only_if_free},
+                       item->call.only_if_free, item->priced.cost.mean},
                       now));
     return item->id;
 }
@@ -138,6 +140,7 @@
     const auto now = clock_.now();
     item->started = now;
     repeats_.on_run(item->call.repeated);
+    costs_.on_start(item->id, item->priced, now);
     item->version = tracker_.current().version;
     item->cold = tracker_.current().cold_remaining > milliseconds{0};
     http_message request;
@@ -165,6 +168,7 @@
     std::optional<duration> service_time;
     connect_failures_ = result.why == mesh::reason::connect_failed ? connect_failures_ + 1 : 0;
     if (result.outcome == mesh::attempt_outcome::answered) {
+        take_report(result.response);
         const bool misdirected = result.response.status == status_misdirected;
         if (is_refusal(result.response)) {
             message.outcome = mesh::attempt_outcome::not_run;
@@ -176,6 +180,8 @@
             const bool failed = result.response.status >= first_server_error;
             if (!failed) {
                 service_time = latency;
+                message.service_time = std::chrono::duration_cast<std::chrono::microseconds>(latency);
+                costs_.on_response(item->priced, item->call, latency, clock_.now());
             }
             record_evidence(*item, failed, latency);
         }
@@ -198,6 +204,9 @@
     auto result = gate_.load();
     result.accepting = may_start();
     result.link_use = link_use_;
+    const auto now = clock_.now();
+    result.work = costs_.work(now);
+    result.pace = costs_.pace(now);
     return result;
 }
 
@@ -221,6 +230,7 @@
 
 void endpoint_service::reply(const std::shared_ptr<job>& item, reply_message message) {
     jobs_.erase(item->id);
+    costs_.on_end(item->id);
     message.stream = item->call.stream;
     message.load = load();
     counters_.add("endpoint_" + std::string{to_string(message.why)});
@@ -276,6 +286,7 @@
     }
     const auto item = found->second;
     jobs_.erase(found);
+    costs_.on_end(id);
     if (!item->started) {
         gate_.remove(id);
         return true;
@@ -290,8 +301,26 @@
     client_.set_memory(memory, std::move(is_congested));
 }
 
+void endpoint_service::take_report(const http_message& response) {
+    const auto report =
+        platform_wire::decode_load_report(find_header(response.headers, platform_wire::load_header));
+    if (report) {
+        costs_.on_report(*report, gate_.running(), clock_.now());
+        refresh_gate();
+    }
+}
+
+void endpoint_service::refresh_gate() {
+    const auto now = clock_.now();
+    const auto& current = tracker_.current();
+    costs_.set_cold(current.cold_remaining > milliseconds{0});
+    gate_.set_slots(costs_.usable_slots(std::max(1U, current.slots), now));
+    gate_.set_pace(costs_.pace(now));
+}
+
 void endpoint_service::tick(time_point now) {
     client_.resume_waiting();
+    refresh_gate();
     if (probe_ && probe_->deadline <= now) {
         client_.cancel(probe_->client_id);
         probe_.reset();
@@ -343,9 +372,10 @@
                                   {"sequence", current.sequence}});
     if (current.endpoint_id != current_endpoint_) {
         current_endpoint_ = current.endpoint_id;
+        costs_.on_replaced();
         client_.close_idle();
     }
-    gate_.set_slots(std::max(1U, current.slots));
+    refresh_gate();
     apply(gate_.set_ready(may_start(), clock_.now()));
     if (on_change_) {
         on_change_();
@@ -384,6 +414,7 @@
             find_header(result.response.headers, platform_wire::load_header));
         const auto slots = report ? report->slots : 1;
         update([&](mesh::endpoint_tracker& tracker) { tracker.on_health(id, healthy, slots); });
+        take_report(result.response);
     };
     const auto id = client_.send(std::move(request), {}, on_response, max_probe_body_bytes);
     probe_ = health_check{id, clock_.now() + probe_timeout};
--- a/src/sidecar/endpoint_service.h
+++ b/src/sidecar/endpoint_service.h
@@ -4,6 +4,7 @@
 
 #include "sidecar/call_target.h"
 #include "sidecar/endpoint_client.h"
+#include "sidecar/request_costs.h"
 #include "sidecar/settings.h"
 
 namespace endive::sidecar {
@@ -40,6 +41,9 @@
     void set_link_use(double use) { link_use_ = use; }
     /// Share of repeated requests among the latest runs.
     [[nodiscard]] double repeat_share() const { return repeats_.share(); }
+    /// Costs of the requests that this daemon sends to any endpoint.
+    [[nodiscard]] caller_costs& sent_costs() { return sent_costs_; }
+    [[nodiscard]] const endpoint_costs& costs() const { return costs_; }
     [[nodiscard]] std::size_t open_jobs() const { return jobs_.size(); }
     [[nodiscard]] const std::vector<mesh::version_evidence>& evidence() const { return evidence_; }
     /// Queries the endpoint's health path for its identity while no heartbeat has reported it.
@@ -63,6 +67,10 @@
     void log_unanswered(const job& item, const reply_message& message) const;
     void record_evidence(const job& item, bool failed, duration latency);
     void apply_tracker_state();
+    /// Takes the load that the endpoint reported with a response, and updates the gate by it.
+    void take_report(const http_message& response);
+    /// Updates what the gate knows of the endpoint's slots and pace.
+    void refresh_gate();
     [[nodiscard]] bool may_start() const { return tracker_.is_ready() && !retired_; }
     /// Why new requests are refused. Precondition: `may_start()` is false or the stop deadline is too close.
     [[nodiscard]] mesh::reason not_starting_reason() const;
@@ -72,6 +80,8 @@
     mesh::endpoint_tracker tracker_;
     mesh::endpoint_gate gate_;
     mesh::repeat_meter repeats_;
+    endpoint_costs costs_;
+    caller_costs sent_costs_;
     endpoint_client client_;
     std::function<void()> on_change_;
     key_check check_key_;
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -123,6 +123,8 @@
         return;
     }
     item->service = item->route->parts[splits_.choose(*item->route)].service;
+    item->cost_key =
+        scheduling::make_cost_key(item->service, item->route->name, request.method, item->body_bytes);
     item->headers = forwarded_headers(request.headers, settings_.service);
     keys_.replace_headers(item->headers, item->caller_id);
     item->version = moves_.choose(item->service, clock_.now());
@@ -180,7 +182,9 @@
     for (const auto& entry : options) {
         facts.push_back(entry.facts);
     }
-    const mesh::choice_request criteria{item->caller->request().body.size(), item->route->latency_target};
+    const auto cost = local_.sent_costs().estimate(item->cost_key, item->route->latency_target);
+    const mesh::choice_request criteria{item->caller->request().body.size(), item->route->latency_target,
+                                        cost.mean, cost.variation};
     const auto chosen = mesh::choose_endpoint(facts, criteria, next_random(random_));
     if (!chosen) {
         answer_without_endpoint(item, std::max(item->retry_delay_guess(now), item->retry_after));
@@ -190,8 +194,16 @@
     const auto daemon = target.about->daemon;
     const auto load_age = target.remote == nullptr ? duration{0} : now - target.remote->load_time;
     auto call = make_call(*item, *target.about, now); // before the attempt is recorded
-    item->attempts.push_back(
-        {daemon, mesh::expected_time(target.facts, criteria), target.facts.load.outstanding, load_age, now});
+    attempt_trace trace;
+    trace.daemon = daemon;
+    trace.expected = mesh::expected_time(target.facts, criteria);
+    trace.expected_cost = cost.mean;
+    trace.pace = target.facts.load.pace;
+    trace.outstanding = target.facts.load.outstanding;
+    trace.load_age = load_age;
+    trace.sent = now;
+    item->attempts.push_back(std::move(trace));
+    call.expected_cost = std::chrono::duration_cast<std::chrono::microseconds>(cost.mean);
     const auto index = item->attempts.size() - 1;
     call.only_if_free =
         only_if_free || !mesh::may_wait(target.facts, criteria, options.size(), item->busy_answers);
@@ -207,6 +219,7 @@
     opened.target = &local_;
     if (target.remote != nullptr) {
         ++target.remote->sent_since_load;
+        target.remote->work_since_load += cost.mean;
         opened.link = target.remote->link;
         opened.target = opened.link.get();
     }
@@ -231,6 +244,8 @@
     const auto now = clock_.now();
     auto* entry = peers_.find(item->attempts[index].daemon);
     item->attempts[index].end(reply.outcome, reply.why, now);
+    item->attempts[index].service_time = reply.service_time;
+    local_.sent_costs().on_reply(item->cost_key, item->route->latency_target, reply);
     if (reply.outcome == mesh::attempt_outcome::not_run) {
         on_not_run(item, index, reply);
         return;
--- a/src/sidecar/forwarder_answers.cpp
+++ b/src/sidecar/forwarder_answers.cpp
@@ -102,6 +102,9 @@
     for (const auto& attempt : item.attempts) {
         attempts.push_back({{"daemon", attempt.daemon},
                             {"expected_ms", to_ms(attempt.expected)},
+                            {"expected_cost_ms", to_ms(attempt.expected_cost)},
+                            {"pace", std::round(attempt.pace * 100) / 100},
+                            {"service_time_ms", to_ms(attempt.service_time)},
                             {"outstanding", attempt.outstanding},
                             {"load_age_ms", to_ms(attempt.load_age)},
                             {"outcome", attempt.outcome},
--- a/src/sidecar/forwarder_options.cpp
+++ b/src/sidecar/forwarder_options.cpp
@@ -12,6 +12,8 @@
 mesh::endpoint_load reduced_by_age(mesh::endpoint_load load, duration age) {
     const double fraction = 1.0 - std::min(1.0, std::chrono::duration<double>(age).count() / load_lifetime_s);
     load.outstanding = static_cast<std::uint32_t>(load.outstanding * fraction);
+    load.work =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>(load.work) * fraction);
     return load;
 }
 
@@ -38,7 +40,7 @@
         result.push_back({&about,
                           &entry,
                           {name, false, same_domain, reduced_by_age(entry.load, now - entry.load_time),
-                           entry.sent_since_load, entry.failures + added_failures}});
+                           entry.sent_since_load, entry.failures + added_failures, entry.work_since_load}});
     }
     return result;
 }
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -100,6 +100,7 @@
     if (restarted || moved) {
         entry.load = {0, std::max(1U, about.slots), duration{0}, 0, true};
         entry.sent_since_load = 0;
+        entry.work_since_load = duration{0};
         entry.failures = 0;
         entry.refusals = {};
         entry.next_dial = time_point{};
@@ -401,6 +402,7 @@
         entry->load = load;
         entry->load_time = clock_.now();
         entry->sent_since_load = 0;
+        entry->work_since_load = duration{0};
         if (load.outstanding < load.slots) {
             entry->refusals.on_slot_available();
         }
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -17,7 +17,8 @@
     mesh::endpoint_load load;
     time_point load_time{};
     std::uint32_t sent_since_load = 0;
-    std::uint32_t failures = 0; ///< consecutive failures of requests sent to it
+    duration work_since_load{0}; ///< expected work of the requests of `sent_since_load`
+    std::uint32_t failures = 0;  ///< consecutive failures of requests sent to it
     mesh::refusal_cache refusals;
     time_point next_dial{};
     duration dial_backoff{0};
