--- a/src/mesh/choice.cpp
+++ b/src/mesh/choice.cpp
@@ -40,6 +40,13 @@
 /// Weight of the expected time relative to the probability of a late response: of two endpoints that are
 /// certain to be on time, the faster one is preferred.
 constexpr double time_weight = 0.05;
+/// The same when the cost of the request is known: the expected times of fast and slow endpoints are then
+/// reliable.
+constexpr double known_time_weight = 0.4;
+/// Share of the requests that take a multiple of the usual time, and this multiple. Their costs hardly
+/// contribute to the learned ones.
+constexpr double long_share = 0.03;
+constexpr double long_ratio = 6;
 
 /// A request waits at the next endpoint after this many had no free slot. Each costs a round trip, and in an
 /// overload none is free.
@@ -92,10 +99,7 @@
            (option.load.work > duration{0} || option.load.outstanding == 0);
 }
 
-double service_time_deviation(const candidate& option, const choice_request& request) {
-    if (!knows_work(option, request)) {
-        return service_time_sigma;
-    }
+double cost_deviation(const choice_request& request) {
     const double variance = std::log1p(request.cost_variation * request.cost_variation);
     return std::max(min_service_time_sigma, std::sqrt(variance));
 }
@@ -130,7 +134,13 @@
 double choice_cost(const candidate& option, const choice_request& request) {
     const double target = std::max(1.0, static_cast<double>(request.latency_target.count()));
     const double ratio = static_cast<double>(expected_time(option, request).count()) / target;
-    double cost = late_probability(ratio, service_time_deviation(option, request)) + time_weight * ratio;
+    const bool known = request.expected_cost > duration{0};
+    const double sigma = known ? cost_deviation(request) : service_time_sigma;
+    double cost = late_probability(ratio, sigma);
+    if (known) {
+        cost += long_share * (late_probability(long_ratio * ratio, sigma) - cost);
+    }
+    cost += (known ? known_time_weight : time_weight) * ratio;
     if (!option.local) {
         cost += link_cost(option.load.link_use, request.body_bytes);
     }
--- a/src/scheduling/request_costs.cpp
+++ b/src/scheduling/request_costs.cpp
@@ -42,7 +42,7 @@
 constexpr double learned_weight = 0.05;
 /// The learned paces of all endpoints and the costs that callers learn from them determine each other up to a
 /// common factor, which grows or falls with any bias of either. Drawing the paces towards 1 bounds it.
-constexpr double learned_retention = 0.85;
+constexpr double learned_retention = 0.95;
 constexpr double cold_factor = 2;
 constexpr double min_pace = 0.05;
 
