Let the settings about tenants be empty texts

Change: the settings that a deployment may leave out are texts in the template, and an empty text means the default. Values are checked as before, with the key in the error.

--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -2,11 +2,16 @@
 
 #include "platform/wire.h"
 
+#include <charconv>
+
 namespace endive::sidecar {
 namespace {
 
 milliseconds read_duration(settings_reader& reader, const std::string& key, milliseconds default_value) {
-    const auto text = reader.optional_string(key, std::to_string(default_value.count()) + "ms");
+    const auto text = reader.optional_string(key, {});
+    if (text.empty()) {
+        return default_value;
+    }
     try {
         return platform_wire::parse_duration(text);
     } catch (const error& cause) {
@@ -14,6 +19,32 @@
     }
 }
 
+/// A number that the platform may leave out; its template then has an empty text.
+double read_number_text(settings_reader& reader, const std::string& key, double default_value, double max) {
+    const auto text = reader.optional_string(key, {});
+    if (text.empty()) {
+        return default_value;
+    }
+    double value = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    // The comparison is false for NaN.
+    if (parsed.ec != std::errc{} || parsed.ptr != end || !(value >= 0 && value <= max)) {
+        throw error{result_code::settings_out_of_range,
+                    "not a number from 0 to " + std::to_string(max) + ": " + text, key};
+    }
+    return value;
+}
+
+/// The same for a condition.
+bool read_boolean_text(settings_reader& reader, const std::string& key, bool default_value) {
+    const auto text = reader.optional_string(key, {});
+    if (text.empty() || text == "true" || text == "false") {
+        return text.empty() ? default_value : text == "true";
+    }
+    throw error{result_code::settings_out_of_range, "neither true nor false: " + text, key};
+}
+
 } // namespace
 
 sidecar_settings read_settings(const std::string& path) {
@@ -56,12 +87,13 @@
     constexpr std::int64_t max_max_descriptors = 10'000'000;
     result.max_descriptors =
         reader.optional_integer("max_descriptors", result.max_descriptors, 64, max_max_descriptors);
-    result.fail_closed = reader.optional_boolean("fail_closed", result.fail_closed);
+    result.fail_closed = read_boolean_text(reader, "fail_closed", result.fail_closed);
     result.revoke_time = read_duration(reader, "revoke_time", result.revoke_time);
     result.quota_window = read_duration(reader, "quota_window", result.quota_window);
-    result.quota_overage = reader.optional_number("quota_overage", result.quota_overage, 0.0, 10.0);
+    constexpr double max_quota_overage = 10;
+    result.quota_overage = read_number_text(reader, "quota_overage", result.quota_overage, max_quota_overage);
     constexpr double max_quota_slack = 1'000'000;
-    result.quota_slack = reader.optional_number("quota_slack", result.quota_slack, 0.0, max_quota_slack);
+    result.quota_slack = read_number_text(reader, "quota_slack", result.quota_slack, max_quota_slack);
     return result;
 }
 
--- a/tests/sidecar/key_proofs_test.cpp
+++ b/tests/sidecar/key_proofs_test.cpp
@@ -119,8 +119,8 @@
     CHECK(f.back->expected_ids.size() == served + 4);
 }
 
-// Guards against knowledge that is older when the store answers late, so that too little time is left to serve
-// callers after a loss.
+// Guards against knowledge that is older when the store answers late, so that too little time is left to
+// serve callers after a loss.
 TEST_CASE("watches are shorter while the store answers late") {
     fail_closed_fixture f;
     f.start_proven();
--- a/tests/sidecar/settings_test.cpp
+++ b/tests/sidecar/settings_test.cpp
@@ -58,3 +58,27 @@
         }
     }
 }
+
+// Guards against daemons that do not start where a deployment has no tenants, so that its template leaves the
+// settings about them empty.
+TEST_CASE("settings that a deployment leaves out may be empty texts") {
+    const auto absent =
+        read({{"fail_closed", ""}, {"revoke_time", ""}, {"quota_window", ""}, {"quota_slack", ""}});
+    CHECK_FALSE(absent.fail_closed);
+    CHECK(absent.revoke_time == milliseconds{5000});
+    const auto present = read(
+        {{"fail_closed", "true"}, {"revoke_time", "4s"}, {"quota_overage", "0.25"}, {"quota_slack", "7"}});
+    CHECK(present.fail_closed);
+    CHECK(present.revoke_time == milliseconds{4000});
+    CHECK(present.quota_overage == Approx(0.25));
+    CHECK(present.quota_slack == Approx(7));
+    for (const auto& [key, value] : std::vector<std::pair<std::string, json>>{
+             {"fail_closed", "yes"}, {"revoke_time", "4"}, {"quota_overage", "-1"}, {"quota_slack", "7x"}}) {
+        try {
+            read({{key, value}});
+            FAIL("accepted " << key);
+        } catch (const error& cause) {
+            CHECK(cause.location().find(key) != std::string::npos);
+        }
+    }
+}
