Admit requests of tenants within their quota

The forwarder asks quota_service before the first attempt. A request without a token at hand waits for the coordinator's answer; beyond the quota it gets 429 with the time until there is credit. Tokens of attempts that did not run are returned, further runs are charged.

The quota message carries delegations and the tokens that are no longer held; counting its bytes threw an exception, since the list of kinds of messages lacked it.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -696,8 +696,9 @@
     busy,        ///< no slot was free, and the request was not to wait for one
     key_unknown, ///< the request has no API key, or one that no tenant holds
     keys_stale,  ///< the daemon's knowledge of API keys may be outdated by more than is allowed
+    over_quota,  ///< the tenant has used up its quota
 };
-inline constexpr reason last_reason = reason::keys_stale;
+inline constexpr reason last_reason = reason::over_quota;
 [[nodiscard]] std::string_view to_string(reason value);
 
 // ---- rollouts ---------------------------------------------------------------------------------------------
--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -41,6 +41,8 @@
         {"peer_lost", "the link to the other daemon ended before its reply; the request may have run"},
         {"peer_silent", "the other daemon did not answer a ping, so the request was also sent elsewhere; it "
                         "may run at both"},
+        {"over_quota", "the tenant had used up its quota, which all daemons share; see its tenant and "
+                       "retry_after_ms"},
         {"caller_left", "the caller closed its connection"},
         {"bad_request", "the request has no id"},
         {"key_unknown",
--- a/src/mesh/reason.cpp
+++ b/src/mesh/reason.cpp
@@ -50,6 +50,8 @@
         return "key_unknown";
     case reason::keys_stale:
         return "keys_stale";
+    case reason::over_quota:
+        return "over_quota";
     }
     return "none";
 }
--- a/src/sidecar/active_request.h
+++ b/src/sidecar/active_request.h
@@ -18,6 +18,7 @@
 /// Maximum number of refusals of one request before its caller is asked to retry later.
 inline constexpr std::uint32_t max_refusals = 4;
 
+inline constexpr unsigned status_too_many_requests = 429;
 inline constexpr unsigned status_bad_gateway = 502;
 inline constexpr unsigned status_unavailable = 503;
 inline constexpr unsigned status_gateway_timeout = 504;
@@ -65,7 +66,10 @@
     std::string service;
     std::string request_id;
     caller_identity caller_id;
-    std::uint32_t priority = 0; ///< of the tenant or else of the route
+    std::uint32_t priority = 0;     ///< of the tenant or else of the route
+    std::string tenant;             ///< empty without an API key
+    std::uint64_t quota_ticket = 0; ///< not 0 while the request waits for its tenant's quota
+    std::uint32_t quota_tokens = 0; ///< taken from the tenant's quota
     header_list headers;
     time_point arrived;
     time_point deadline;
@@ -104,6 +108,13 @@
             return attempt.outcome != outcome_name(mesh::attempt_outcome::not_run);
         });
     }
+    /// Attempts that have run or may do so.
+    [[nodiscard]] std::size_t possible_runs() const {
+        return static_cast<std::size_t>(
+            std::count_if(attempts.begin(), attempts.end(), [](const attempt_trace& attempt) {
+                return attempt.outcome != outcome_name(mesh::attempt_outcome::not_run);
+            }));
+    }
     /// Attempts that count against the route's maximum.
     [[nodiscard]] std::size_t attempts_used() const { return sent + calls.size(); }
     /// True when an attempt is open on a link that is not suspect.
--- a/src/sidecar/events.cpp
+++ b/src/sidecar/events.cpp
@@ -60,6 +60,8 @@
     event_entry{client_refused, "client_refused", info, refusal},
     event_entry{reply_discarded, "reply_discarded", info, refusal},
     event_entry{loop_delayed, "loop_delayed", warning, lifecycle},
+    event_entry{quota_coordinators, "quota_coordinators", info, lifecycle},
+    event_entry{quota_refusals, "quota_refusals", info, lifecycle},
     event_entry{unexpected_exception, "unexpected_exception", warning, lifecycle},
     event_entry{summary, "summary", info, lifecycle},
 };
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -58,6 +58,8 @@
     client_refused,
     reply_discarded,
     loop_delayed,
+    quota_coordinators,
+    quota_refusals,
     unexpected_exception,
     summary,
 };
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -54,9 +54,10 @@
 } // namespace
 
 forwarder::forwarder(const clock_source& clock, counter_set& counters, const sidecar_settings& settings,
-                     endpoint_service& local, peer_set& peers, rollouts& moves, const authentication& keys)
+                     endpoint_service& local, peer_set& peers, rollouts& moves, const authentication& keys,
+                     quota_service& quota)
     : clock_{clock}, counters_{counters}, settings_{settings}, local_{local}, peers_{peers}, moves_{moves},
-      keys_{keys} {
+      keys_{keys}, quota_{quota} {
     random_ ^= stable_hash(settings.name);
 }
 
@@ -106,6 +107,7 @@
     const auto* tenant = item->caller_id.tenant;
     item->priority =
         tenant == nullptr ? item->route->priority : tenant->priority.value_or(item->route->priority);
+    item->tenant = tenant == nullptr ? std::string{} : tenant->name;
     if (remaining) {
         item->age = ages_.age(item->route->name, *remaining, item->arrived);
     }
@@ -126,10 +128,7 @@
     item->headers = forwarded_headers(request.headers, settings_.service);
     keys_.replace_headers(item->headers, item->caller_id);
     item->version = moves_.choose(item->service, clock_.now());
-    // A request to another service may be a call by this VM's endpoint.
-    retry_budget_for(item->service)
-        .on_request(item->service == settings_.service ? 0.0 : local_.repeat_share());
-    attempt(item);
+    begin(item);
 }
 
 mesh::retry_budget& forwarder::retry_budget_for(const std::string& service) {
@@ -190,6 +189,7 @@
     const auto daemon = target.about->daemon;
     const auto load_age = target.remote == nullptr ? duration{0} : now - target.remote->load_time;
     auto call = make_call(*item, *target.about, now); // before the attempt is recorded
+    charge_attempt(*item);
     item->attempts.push_back(
         {daemon, mesh::expected_time(target.facts, criteria), target.facts.load.outstanding, load_age, now});
     const auto index = item->attempts.size() - 1;
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -5,6 +5,7 @@
 #include "sidecar/events.h"
 #include "sidecar/http_server.h"
 #include "sidecar/peer_set.h"
+#include "sidecar/quota_service.h"
 #include "sidecar/rollouts.h"
 
 namespace endive::sidecar {
@@ -13,7 +14,8 @@
 class forwarder {
 public:
     forwarder(const clock_source& clock, counter_set& counters, const sidecar_settings& settings,
-              endpoint_service& local, peer_set& peers, rollouts& moves, const authentication& keys);
+              endpoint_service& local, peer_set& peers, rollouts& moves, const authentication& keys,
+              quota_service& quota);
     void set_configuration(std::shared_ptr<const mesh::route_index> routes) { routes_ = std::move(routes); }
     /// The daemon stops at `stop` and ends its work at `end`. Requests with a later deadline are refused,
     /// except those that arrive shortly after `stop`.
@@ -30,6 +32,10 @@
 private:
     struct active_request;
     struct endpoint_option;
+    void begin(const std::shared_ptr<active_request>& item);
+    void on_quota(const std::shared_ptr<active_request>& item, const tenants::quota_decision& decision);
+    void charge_attempt(active_request& item);
+    void settle_quota(active_request& item);
     /// Sends the request to the best endpoint; with `only_if_free` it does not wait there.
     void attempt(const std::shared_ptr<active_request>& item, bool only_if_free = false);
     [[nodiscard]] std::string version_in_use(std::span<const endpoint_option> options,
@@ -80,6 +86,7 @@
     peer_set& peers_;
     rollouts& moves_;
     const authentication& keys_;
+    quota_service& quota_;
     std::shared_ptr<const mesh::route_index> routes_;
     mesh::split_chooser splits_;
     latency_histogram latency_;
--- a/src/sidecar/forwarder_answers.cpp
+++ b/src/sidecar/forwarder_answers.cpp
@@ -57,17 +57,22 @@
 }
 
 void forwarder::refuse(const std::shared_ptr<active_request>& item, mesh::reason why, duration retry_after) {
-    auto response = own_response(status_unavailable, std::string{to_string(why)} + "\n");
+    const bool over_quota = why == mesh::reason::over_quota;
+    auto response = own_response(over_quota ? status_too_many_requests : status_unavailable,
+                                 std::string{to_string(why)} + "\n");
     const auto seconds = std::chrono::duration<double>(retry_after).count();
     std::array<char, 32> text{};
     std::snprintf(text.data(), text.size(), "%.3f", seconds);
     response.headers.push_back({"Retry-After", text.data()});
     counters_.add("refused_" + std::string{to_string(why)});
-    if (item->route != nullptr) {
+    // A tenant over its quota gains no precedence from its refusals.
+    if (item->route != nullptr && !over_quota) {
         returns_.on_refused(item->target, item->caller_deadline,
                             {item->refused_before + 1, item->arrived - item->age}, clock_.now());
     }
-    log_outcome(event::request_refused, *item, response.status, why);
+    if (!over_quota || !log_is_saturated()) {
+        log_outcome(event::request_refused, *item, response.status, why);
+    }
     answer(item, std::move(response));
 }
 
@@ -129,6 +134,7 @@
 
 void forwarder::release(const std::shared_ptr<active_request>& item) {
     if (open_.erase(item) > 0) {
+        settle_quota(*item);
         held_bytes_ -= item->body_bytes;
     }
 }
--- a/src/sidecar/messages.cpp
+++ b/src/sidecar/messages.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint64_t max_announced_bytes = 4 * max_unpacked_bytes;
 /// More tokens than any tenant's quota.
 constexpr double max_quota_tokens = 1e12;
+/// A longer time without a change of the coordinators makes no difference.
+constexpr milliseconds max_stable{3'600'000};
 
 struct payload_offset {
     wire::payload type;
@@ -192,13 +194,22 @@
     std::vector<flatbuffers::Offset<wire::quota_entry>> entries;
     entries.reserve(value.entries.size());
     for (const auto& entry : value.entries) {
-        entries.push_back(wire::Createquota_entry(out, out.CreateString(entry.tenant), entry.tokens,
-                                                  entry.returned,
-                                                  static_cast<std::uint32_t>(entry.wait.count())));
+        entries.push_back(
+            wire::Createquota_entry(out, out.CreateString(entry.tenant), entry.tokens, entry.returned,
+                                    static_cast<std::uint32_t>(entry.wait.count()), entry.spent));
     }
     const auto entries_offset = out.CreateVector(entries);
-    return {wire::payload::quota,
-            wire::Createquota(out, value.id, value.answer, value.configuration, entries_offset).Union()};
+    flatbuffers::Offset<wire::quota_grant> grant;
+    if (value.grant) {
+        const auto stable = std::chrono::duration_cast<milliseconds>(value.grant->stable_for).count();
+        grant = wire::Createquota_grant(
+            out, value.grant->coordinators, value.grant->previous,
+            static_cast<std::uint32_t>(std::clamp<std::int64_t>(stable, 0, max_stable.count())),
+            value.grant->known);
+    }
+    return {
+        wire::payload::quota,
+        wire::Createquota(out, value.id, value.answer, value.configuration, entries_offset, grant).Union()};
 }
 
 std::string text_of(const flatbuffers::String* text) {
@@ -369,19 +380,27 @@
     return std::chrono::microseconds{std::min(age_us, max_age_us)};
 }
 
+bool is_token_count(double value) {
+    return value >= 0.0 && value <= max_quota_tokens; // false for NaN
+}
+
 quota_message decode(const wire::quota& value) {
     quota_message result{value.id(), value.answer(), value.configuration(), {}};
     if (value.entries() != nullptr) {
         for (const auto* entry : *value.entries()) {
-            // The comparisons are false for NaN.
-            if (!(entry->tokens() >= 0.0 && entry->tokens() <= max_quota_tokens) ||
-                !(entry->returned() >= 0.0 && entry->returned() <= max_quota_tokens)) {
+            if (!is_token_count(entry->tokens()) || !is_token_count(entry->returned()) ||
+                !is_token_count(entry->spent())) {
                 throw error{result_code::peer_frame_malformed, "number of quota tokens out of range"};
             }
             result.entries.push_back({text_of(entry->tenant()), entry->tokens(), entry->returned(),
-                                      milliseconds{entry->wait_ms()}});
+                                      milliseconds{entry->wait_ms()}, entry->spent()});
         }
     }
+    if (const auto* grant = value.grant()) {
+        result.grant =
+            tenants::quota_grant{grant->coordinators(), grant->previous(),
+                                 std::min(milliseconds{grant->stable_ms()}, max_stable), grant->known()};
+    }
     return result;
 }
 
--- a/src/sidecar/messages.h
+++ b/src/sidecar/messages.h
@@ -5,6 +5,7 @@
 #include "sidecar/row_codec.h"
 
 #include "endive/mesh.h"
+#include "endive/tenants.h"
 
 #include <optional>
 #include <variant>
@@ -92,15 +93,18 @@
     double tokens = 0;    ///< wanted, in an answer leased
     double returned = 0;  ///< tokens that the sender gives back
     milliseconds wait{0}; ///< in an answer: time until there are more when there are too few
+    double spent = 0;     ///< leased tokens that the sender no longer holds, since its last ask
     friend auto operator<=>(const quota_entry&, const quota_entry&) = default;
 };
 
-/// Asks the daemon that coordinates the quotas of some tenants for tokens, or answers that.
+/// Asks the daemon that coordinates the quotas of some tenants for tokens, or answers that. Without entries
+/// it is a probe of a coordinator, or the answer to one.
 struct quota_message {
-    std::uint64_t id = 0;
+    std::uint64_t id = 0; ///< time of the request by the clock of its sender, in nanoseconds
     bool answer = false;
     std::uint64_t configuration = 0; ///< version of the configuration that the sender has in force
     std::vector<quota_entry> entries;
+    std::optional<tenants::quota_grant> grant{}; ///< only in the answer to a probe
 };
 
 using peer_message = std::variant<call_message, cancel_message, reply_message, announce_message,
--- a/src/sidecar/peer_link.cpp
+++ b/src/sidecar/peer_link.cpp
@@ -34,8 +34,8 @@
 constexpr duration retired_idle_time = std::chrono::seconds{5};
 
 std::string_view kind_of(const peer_message& message) {
-    static constexpr std::array<std::string_view, 6> names{"call",     "cancel", "reply",
-                                                           "announce", "fetch",  "ping"};
+    static constexpr std::array<std::string_view, 7> names{"call",  "cancel", "reply", "announce",
+                                                           "fetch", "ping",   "quota"};
     return names.at(message.index());
 }
 
@@ -197,6 +197,8 @@
         } else {
             send(ping_message{ping->id, true, events_.own_proof()});
         }
+    } else if (const auto* quota = std::get_if<quota_message>(&message)) {
+        events_.on_quota(self, *quota);
     }
 }
 
--- a/src/sidecar/peer_link.h
+++ b/src/sidecar/peer_link.h
@@ -27,6 +27,7 @@
     /// The link has been retired.
     virtual void on_retired(const std::shared_ptr<peer_link>& link) = 0;
     virtual void on_down(const std::shared_ptr<peer_link>& link) = 0;
+    virtual void on_quota(const std::shared_ptr<peer_link>& /*link*/, const quota_message& /*message*/) {}
     virtual void on_ping_answer(const std::shared_ptr<peer_link>& /*link*/, const ping_message& /*answer*/) {}
     /// What is answered to a ping beside the answer itself.
     [[nodiscard]] virtual std::optional<key_proof> own_proof() const { return std::nullopt; }
--- a/src/sidecar/peer_set.cpp
+++ b/src/sidecar/peer_set.cpp
@@ -407,6 +407,12 @@
     }
 }
 
+void peer_set::on_quota(const std::shared_ptr<peer_link>& link, const quota_message& message) {
+    if (callbacks_.quota && find(link->daemon()) != nullptr) {
+        callbacks_.quota(link, message);
+    }
+}
+
 /// Closes the links to earlier starts of the daemon at the other end of `link`.
 void peer_set::close_links_before(const peer_link& link) {
     const auto links = links_;
--- a/src/sidecar/peer_set.h
+++ b/src/sidecar/peer_set.h
@@ -47,6 +47,7 @@
         std::function<void(const std::string& daemon, const ping_message& answer)> ping_answer;
         /// What this daemon answers to pings.
         std::function<std::optional<key_proof>()> own_proof;
+        std::function<void(const std::shared_ptr<peer_link>& link, const quota_message&)> quota{};
     };
     peer_set(boost::asio::io_context& loop, const clock_source& clock, const sidecar_settings& settings,
              counter_set& counters, endpoint_service& local, const mesh::row_replica& rows,
@@ -102,6 +103,7 @@
     void on_announce(const std::shared_ptr<peer_link>& link, announce_message message) override;
     void on_fetch(const std::shared_ptr<peer_link>& link, const fetch_message& message) override;
     void on_load(const std::shared_ptr<peer_link>& link, const mesh::endpoint_load& load) override;
+    void on_quota(const std::shared_ptr<peer_link>& link, const quota_message& message) override;
     void on_unverified(const std::shared_ptr<peer_link>& link) override;
     void on_retired(const std::shared_ptr<peer_link>& link) override;
     void on_down(const std::shared_ptr<peer_link>& link) override;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -73,8 +73,12 @@
               [this](const std::string& daemon, const ping_message& answer) {
                   key_proofs_.on_ping_answer(daemon, answer);
               },
-              [this] { return key_proofs_.own_proof(); }}},
-      forwarder_{clock, counters_, settings_, local_, peers_, rollouts_, authentication_},
+              [this] { return key_proofs_.own_proof(); },
+              [this](const std::shared_ptr<peer_link>& link, const quota_message& message) {
+                  quota_.on_message(link, message);
+              }}},
+      quota_{clock, counters_, settings_, peers_}, forwarder_{clock,  counters_, settings_,       local_,
+                                                              peers_, rollouts_, authentication_, quota_},
       callers_{loop, clock, settings_.callers_address,
                [this](const std::shared_ptr<exchange>& request) { forwarder_.handle(request); }},
       readiness_{loop, clock, settings_.readiness_address,
@@ -261,6 +265,7 @@
     const auto now = clock_.now();
     run_guarded("delay of the event loop", [&] { record_loop_delay(now); });
     run_guarded("deadlines of requests", [&] { forwarder_.tick(now); });
+    run_guarded("quotas", [&] { quota_.tick(now); });
     run_guarded("deadlines of calls", [&] { local_.tick(now); });
     if (now >= next_slow_tick_) {
         next_slow_tick_ = now + slow_tick_interval;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -83,6 +83,7 @@
     endpoint_service local_;
     rollouts rollouts_;
     peer_set peers_;
+    quota_service quota_;
     forwarder forwarder_;
     http_server callers_;
     http_server readiness_;
--- a/src/sidecar/sidecar_rows.cpp
+++ b/src/sidecar/sidecar_rows.cpp
@@ -114,6 +114,7 @@
     routes_ = routes;
     callers_.set_limits(routes_->source().limits);
     forwarder_.set_configuration(routes_);
+    quota_.set_configuration(routes_->source());
     log(event::configuration_in_force, {{"configuration", routes_->source().version},
                                         {"row", row.version},
                                         {"routes", routes_->source().routes.size()},
@@ -208,6 +209,7 @@
                         return;
                     }
                     (table == own_table ? members_loaded_ : statuses_loaded_) = true;
+                    quota_.set_members_known(members_loaded_);
                     next_member_read_ = clock_.now() + member_read_interval;
                 });
 }
