Count a daemon that asks again for quota tokens once

Cause: each ask of a daemon that had been told to wait moved the announced time of the next credit back, so that waits grew far beyond the time until there was credit; right after a change of the coordinators, times were computed from the few parts delegated so far. Change: the announced time is bounded by one token for each delegating daemon, and a coordinator announces no time before the others have delegated their parts.

--- a/src/tenants/quota_coordinator.cpp
+++ b/src/tenants/quota_coordinator.cpp
@@ -204,14 +204,17 @@
         return result;
     }
     const double rate = entry.allowed.rate * entry.share;
-    if (rate <= 0) {
-        result.wait = unknown_wait;
+    if (rate <= 0 || view.grant(now).stable_for < quota_grant_time) {
+        result.wait = unknown_wait; // most daemons have not delegated their parts yet
         return result;
     }
     // Daemons that were told to wait before this one get the next tokens.
     const auto next = from_seconds(std::min(1 / rate, seconds(max_wait)));
     const auto first = now + from_seconds(std::min((1 - entry.level) / rate, seconds(max_wait)));
-    entry.promised_until = std::min(std::max(entry.promised_until + next, first), now + max_wait);
+    // A daemon that asks again counts once.
+    const double queue = static_cast<double>(delegations_.size() + 1) / rate;
+    const auto last = std::max(first, now + from_seconds(std::min(queue, seconds(max_wait))));
+    entry.promised_until = std::min(std::max(entry.promised_until + next, first), last);
     result.wait = entry.promised_until - now;
     return result;
 }
