Share an endpoint's slots fairly between tenants and keep promises to refused callers

Cause: the gate knew no tenants, so a flood of one took the slots of all. Retry-After was an estimate that many callers were told alike; a caller who came back had a passed target and was refused again first. A daemon that remembered a refusal refused all tenants by it. Change: the gate orders its queue by priority, lateness, the fair share of the tenant, and callers who came back as told. A refusal reserves capacity at the first time with room within a third of the time left. The caller's daemon remembers the time told, marks those who return no earlier, spreads those that it refuses by a remembered refusal, and keeps these refusals by tenant. Refused calls are counted by tenant. Without several tenants in the queue and without marked callers its order is as before. The cache of refusals moves to a file of its own.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -5,6 +5,7 @@
 /// loop owns them.
 
 #include "endive/base.h"
+#include "endive/fairness.h"
 
 #include <array>
 #include <deque>
@@ -485,6 +486,8 @@
     duration latency_target{0};
     duration remaining{0}; ///< until the deadline
     duration waited{0};    ///< since the caller's first request
+    fairness::tenant_id tenant = 0;
+    bool returned = false; ///< see `gate_request`
     friend auto operator<=>(const admission_criteria&, const admission_criteria&) = default;
 };
 
@@ -507,7 +510,7 @@
         duration retry_after{0};
         time_point at;
     };
-    std::vector<refusal> refusals_; ///< the latest of each priority and latency target
+    std::vector<refusal> refusals_; ///< the latest of each kind of request
 };
 
 // ---- admission --------------------------------------------------------------------------------------------
@@ -521,6 +524,8 @@
     time_point deadline;       ///< a response after it is useless to the caller
     bool only_if_free = false; ///< answered `busy` instead of queued
     duration expected_cost{0}; ///< at an endpoint of usual pace; zero when unknown
+    fairness::tenant_id tenant = 0;
+    bool returned = false; ///< the caller was refused before and came back at the time that it was told
     friend auto operator<=>(const gate_request&, const gate_request&) = default;
 };
 
@@ -530,14 +535,16 @@
     std::uint64_t ticket = 0;
     gate_verdict verdict = gate_verdict::start;
     duration retry_after{0}; ///< of a refusal: expected wait until there is capacity
+    bool reserved = false;   ///< of a refusal: there is capacity for the caller then
     friend auto operator<=>(const gate_action&, const gate_action&) = default;
 };
 
 /// Admission control and queue of one endpoint. Only the endpoint's own daemon sends requests to it, so the
 /// number of used slots is known exactly and the endpoint never has to shed load. Queued requests start in
 /// order of priority, then of lateness (those that can still be on time first, those that cannot last), then
-/// of target. A request that is not expected to finish before its deadline is refused as soon as that is
-/// known.
+/// by the fair shares of their tenants; within a tenant those of callers who came back as told first, then by
+/// target. A request that is not expected to finish before its deadline is refused as soon as that is known.
+/// Requests of a tenant beyond its share are last in that order, so they are refused first.
 class endpoint_gate {
 public:
     void set_slots(std::uint32_t slots) { slots_ = slots; }
@@ -567,9 +574,17 @@
     [[nodiscard]] duration expected_wait(std::size_t position) const;
     [[nodiscard]] bool goes_before(const gate_request& a, const gate_request& b, time_point now) const;
     void record_service_time(duration service_time, duration latency_target);
+    void run(const gate_request& request, std::vector<gate_action>& out);
+    void refuse(const gate_request& request, std::vector<gate_action>& out, time_point now);
+    [[nodiscard]] fairness::fair_shares& shares_of(std::uint32_t priority);
+    [[nodiscard]] bool has_several_tenants() const;
+    [[nodiscard]] std::vector<gate_request>::iterator next_waiting(time_point now);
+    /// The queue in the order in which its requests start if no other arrives.
+    [[nodiscard]] std::vector<gate_request> ordered_queue(time_point now);
+    [[nodiscard]] bool make_room(const gate_request& request, std::vector<gate_action>& out, time_point now);
     void start_waiting(std::vector<gate_action>& out, time_point now);
     void refuse_infeasible(std::vector<gate_action>& out, time_point now);
-    void count_arrival(time_point now);
+    void count_arrival(const gate_request& request, time_point now);
     /// Offered load over the last few seconds; 1 uses all slots.
     [[nodiscard]] double offered_load() const;
     /// Whether the response is expected before the target if the request starts now.
@@ -584,8 +599,10 @@
     double responses_ = 0;    ///< number of responses, short ones counted in part
     double arrival_rate_ = 0; ///< requests per second
     time_point last_arrival_{};
-    std::map<std::uint64_t, duration> running_; ///< latency target by ticket
-    std::vector<gate_request> queue_;           ///< in order of arrival
+    std::map<std::uint64_t, duration> running_;             ///< latency target by ticket
+    std::vector<gate_request> queue_;                       ///< in order of arrival
+    std::map<std::uint32_t, fairness::fair_shares> shares_; ///< by priority
+    fairness::retry_reservations reservations_;
 };
 
 // ---- retries ----------------------------------------------------------------------------------------------
@@ -624,6 +641,8 @@
     struct earlier_attempts {
         std::uint32_t refusals = 0;
         time_point first_arrival;
+        /// When the caller was told to come back; the latest time when that is too late for it.
+        time_point due = time_point::max();
         friend auto operator<=>(const earlier_attempts&, const earlier_attempts&) = default;
     };
     /// The caller of a request for `target`, a hash, that waits until `deadline` was refused; `attempts`
@@ -633,6 +652,10 @@
     /// The earlier attempts of the caller, which are forgotten; empty for a first attempt.
     [[nodiscard]] std::optional<earlier_attempts> on_arrival(const std::string& route, std::uint64_t target,
                                                              time_point deadline, time_point now);
+    /// True when the caller came back no earlier than it was told, so that it may use what was reserved.
+    [[nodiscard]] static bool is_on_time(const earlier_attempts& earlier, time_point now);
+    /// Number of callers so far who were told a time and did not come back before their deadline.
+    [[nodiscard]] std::uint64_t missed() const { return missed_; }
     /// True when a refused caller of `route` has come back lately.
     [[nodiscard]] bool comes_back(const std::string& route, time_point now) const;
     [[nodiscard]] std::size_t size() const { return waiting_.size(); }
@@ -643,6 +666,7 @@
         time_point deadline;
         earlier_attempts attempts;
     };
+    std::uint64_t missed_ = 0;
     std::deque<waiting_caller> waiting_;             ///< in order of refusal
     std::map<std::string, time_point> last_returns_; ///< by route
 };
--- a/src/mesh/choice.cpp
+++ b/src/mesh/choice.cpp
@@ -71,12 +71,6 @@
 /// Multiplying by it spreads consecutive numbers over the whole range.
 constexpr std::uint64_t spreading_factor = 0x9e3779b97f4a7c15ULL;
 
-/// A refusal is valid for this long. An endpoint that refuses has its slots and its queue full for longer:
-/// with two of three endpoints removed, its refusals carried retry delays of a second and more.
-constexpr duration refusal_lifetime = milliseconds{150};
-/// Requests of one kind whose times differ by no more than this are equally likely to be admitted.
-constexpr duration time_tolerance = milliseconds{20};
-
 /// Probability that a request with this expected time misses its target.
 double late_probability(double expected_ratio, double sigma) {
     if (expected_ratio <= 0) {
@@ -150,29 +144,6 @@
     return cost;
 }
 
-void refusal_cache::on_refused(const admission_criteria& request, duration retry_after, time_point now) {
-    std::erase_if(refusals_, [&](const refusal& entry) {
-        const bool same_kind = entry.request.priority == request.priority &&
-                               entry.request.latency_target == request.latency_target;
-        return same_kind || now - entry.at > refusal_lifetime;
-    });
-    refusals_.push_back({request, retry_after, now});
-}
-
-std::optional<duration> refusal_cache::expected_refusal(const admission_criteria& request,
-                                                        time_point now) const {
-    for (const auto& [refused, retry_after, at] : refusals_) {
-        const bool not_more_urgent =
-            request.priority >= refused.priority && request.latency_target >= refused.latency_target;
-        const bool not_more_time = request.remaining <= refused.remaining + time_tolerance &&
-                                   request.waited + time_tolerance >= refused.waited;
-        if (now - at <= refusal_lifetime && not_more_urgent && not_more_time) {
-            return retry_after;
-        }
-    }
-    return std::nullopt;
-}
-
 bool load_reporter::take_due(const endpoint_load& load, time_point now) {
     const auto since = now - reported_at_;
     const auto limited = [&](duration interval) {
--- a/src/mesh/gate.cpp
+++ b/src/mesh/gate.cpp
@@ -1,8 +1,7 @@
-#include "endive/mesh.h"
+#include "mesh/gate_parts.h"
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 
 namespace endive::mesh {
 namespace {
@@ -15,34 +14,13 @@
 constexpr double full_weight_ratio = 0.1;
 /// Assumed service time before the first response.
 constexpr duration initial_service_time = milliseconds{100};
-/// A request starts only if this share of its expected service time fits before its deadline: service times
-/// vary, and some are well below the average.
-constexpr double min_feasible_share = 0.6;
-/// A request counts as on time while this multiple of its expected service time fits before its target: one
-/// request in ten takes longer. It counts as late when not even `min_feasible_share` of the expected time
-/// fits.
-constexpr double on_time_factor = 1.7;
 /// Time constant of the average arrival rate, in seconds.
 constexpr double rate_window_s = 2.5;
-/// Requests that yield to on-time ones wait about 1 / (1 - load) times as long. Below the overload threshold
-/// they are served after the current burst, so the factor is bounded.
-constexpr double max_yield_factor = 4.0;
-/// Above this load, which exceeds 1 by more than the estimation error, there is no pause in which yielding
-/// requests could be served.
-constexpr double overload_threshold = 1.1;
-constexpr double overload_yield_factor = 30.0;
 /// Weight of the latest response in the long-term average from which the load is computed.
 constexpr double load_average_weight = 0.01;
 /// Maximum number of queued requests of one endpoint: a longer queue uses more memory and its requests would
 /// miss their deadlines.
 constexpr std::size_t max_queued = 1024;
-/// Minimum retry delay: the load of the endpoint does not change sooner.
-constexpr duration min_retry_after = milliseconds{40};
-
-duration scaled(duration value, double factor) {
-    return duration{static_cast<duration::rep>(static_cast<double>(value.count()) * factor)};
-}
-
 } // namespace
 
 duration endpoint_gate::typical_service_time() const {
@@ -65,19 +43,13 @@
     return typical_service_time() * static_cast<duration::rep>(position + 1) / std::max(1U, slots_);
 }
 
-endpoint_gate::lateness endpoint_gate::lateness_of(const gate_request& request, time_point now) const {
-    const auto service_time = expected_service_time(request);
-    if (now + scaled(service_time, on_time_factor) <= request.target) {
-        return lateness::on_time;
-    }
-    return now + scaled(service_time, min_feasible_share) <= request.target ? lateness::uncertain
-                                                                            : lateness::late;
-}
-
-void endpoint_gate::count_arrival(time_point now) {
+void endpoint_gate::count_arrival(const gate_request& request, time_point now) {
     const double elapsed = std::chrono::duration<double>(now - last_arrival_).count();
     arrival_rate_ = arrival_rate_ * std::exp(-elapsed / rate_window_s) + 1.0 / rate_window_s;
     last_arrival_ = now;
+    if (request.returned) {
+        reservations_.on_return(now);
+    }
 }
 
 double endpoint_gate::offered_load() const {
@@ -85,13 +57,6 @@
            std::max(1U, slots_);
 }
 
-bool endpoint_gate::goes_before(const gate_request& a, const gate_request& b, time_point now) const {
-    const auto late_a = lateness_of(a, now);
-    const auto late_b = lateness_of(b, now);
-    return std::tie(a.priority, late_a, a.target, a.ticket) <
-           std::tie(b.priority, late_b, b.target, b.ticket);
-}
-
 std::vector<gate_action> endpoint_gate::set_ready(bool ready, time_point now) {
     std::vector<gate_action> out;
     ready_ = ready;
@@ -113,15 +78,14 @@
         out.push_back({request.ticket, gate_verdict::busy, duration{0}});
         return out;
     }
-    count_arrival(now);
-    if (!ready_ || queue_.size() >= max_queued || request.deadline <= now) {
-        out.push_back(
-            {request.ticket, gate_verdict::refused, std::max(min_retry_after, expected_wait(queue_.size()))});
+    count_arrival(request, now);
+    const bool full = queue_.size() >= max_queued;
+    if (!ready_ || request.deadline <= now || (full && !make_room(request, out, now))) {
+        refuse(request, out, now);
         return out;
     }
     if (slot_free) {
-        running_[request.ticket] = request.latency_target;
-        out.push_back({request.ticket, gate_verdict::start, duration{0}});
+        run(request, out);
         return out;
     }
     queue_.push_back(request);
@@ -181,54 +145,6 @@
     return out;
 }
 
-void endpoint_gate::start_waiting(std::vector<gate_action>& out, time_point now) {
-    while (ready_ && running_.size() < slots_ && !queue_.empty()) {
-        const auto next =
-            std::min_element(queue_.begin(), queue_.end(), [&](const gate_request& a, const gate_request& b) {
-                return goes_before(a, b, now);
-            });
-        const auto request = *next;
-        queue_.erase(next);
-        if (now + scaled(expected_service_time(request), min_feasible_share) > request.deadline) {
-            out.push_back({request.ticket, gate_verdict::refused,
-                           std::max(min_retry_after, expected_wait(queue_.size()))});
-            continue;
-        }
-        running_[request.ticket] = request.latency_target;
-        out.push_back({request.ticket, gate_verdict::start, duration{0}});
-    }
-}
-
-void endpoint_gate::refuse_infeasible(std::vector<gate_action>& out, time_point now) {
-    if (queue_.empty()) {
-        return;
-    }
-    std::vector<gate_request> order = queue_;
-    std::sort(order.begin(), order.end(),
-              [&](const gate_request& a, const gate_request& b) { return goes_before(a, b, now); });
-    // Requests that arrive in the meantime overtake queued ones that are expected to be later, which
-    // therefore get only the remaining share of the slots.
-    const double load = offered_load();
-    const double yield_factor = load > overload_threshold
-                                    ? overload_yield_factor
-                                    : 1.0 / std::max(1.0 - load, 1.0 / max_yield_factor);
-    const auto retry_delay = std::max(min_retry_after, scaled(expected_wait(order.size()), yield_factor));
-    std::size_t position = 0;
-    for (const auto& waiting : order) {
-        const auto wait = expected_wait(position);
-        auto arrival = waiting;
-        arrival.target = now + waiting.latency_target;
-        const bool yields = lateness_of(waiting, now + wait) > lateness_of(arrival, now);
-        const auto start = now + (yields ? scaled(wait, yield_factor) : wait);
-        if (start + scaled(expected_service_time(waiting), min_feasible_share) > waiting.deadline) {
-            remove(waiting.ticket);
-            out.push_back({waiting.ticket, gate_verdict::refused, retry_delay});
-        } else {
-            ++position;
-        }
-    }
-}
-
 endpoint_load endpoint_gate::load() const {
     return {static_cast<std::uint32_t>(running_.size() + queue_.size()), slots_, service_time_, slowness_,
             ready_};
--- a/src/sidecar/active_request.h
+++ b/src/sidecar/active_request.h
@@ -82,6 +82,7 @@
     time_point caller_deadline;       ///< without the route's timeout
     std::uint32_t refused_before = 0; ///< earlier attempts of the caller that were refused
     scheduling::cost_key cost_key;
+    bool returned = false; ///< the caller came back as told
     version_choice version;
     std::vector<attempt_trace> attempts;
     std::uint32_t sent = 0; ///< ended attempts that reached an endpoint or may have done so
@@ -100,11 +101,18 @@
         retry_after = retry_after == duration{0} ? wait : std::min(retry_after, wait);
     }
     [[nodiscard]] mesh::admission_criteria admission(time_point now) const {
-        return {priority, route->latency_target, deadline - now, now - arrived + age};
+        return {priority,
+                route->latency_target,
+                deadline - now,
+                now - arrived + age,
+                fairness::tenant_id_of(tenant),
+                returned};
     }
+    /// Callers come back within this time or do not follow the delay they were told.
+    [[nodiscard]] duration longest_retry_delay(time_point now) const { return (caller_deadline - now) / 3; }
     /// Retry delay when no endpoint has told one: the caller returns only within a third of its time.
     [[nodiscard]] duration retry_delay_guess(time_point now) const {
-        return std::clamp<duration>((caller_deadline - now) / 3, min_retry_after, default_retry_after);
+        return std::clamp<duration>(longest_retry_delay(now), min_retry_after, default_retry_after);
     }
     /// False when every attempt is known not to have run.
     [[nodiscard]] bool may_have_run() const {
--- a/src/sidecar/endpoint_service.cpp
+++ b/src/sidecar/endpoint_service.cpp
@@ -81,7 +81,8 @@
     const auto target = now + item->call.latency_target - item->call.waited;
     item->priced = costs_.on_arrival(item->id, item->call, gate_.load().slowness, now);
     apply(gate_.offer({item->id, item->call.priority, item->call.latency_target, target, item->deadline,
-                       item->call.only_if_free, item->priced.cost.mean},
+                       item->call.only_if_free, item->priced.cost.mean,
+                       fairness::tenant_id_of(item->call.tenant), item->call.refused_before > 0},
                       now));
     return item->id;
 }
@@ -131,6 +132,7 @@
         } else if (action.verdict == mesh::gate_verdict::busy) {
             refuse(item, mesh::reason::busy, duration{0});
         } else {
+            counters_.add(action.reserved ? "reservations" : "refusals_without_reservation");
             refuse(item, may_start() ? mesh::reason::no_room : not_starting_reason(), action.retry_after);
         }
     }
@@ -231,6 +233,9 @@
 void endpoint_service::reply(const std::shared_ptr<job>& item, reply_message message) {
     jobs_.erase(item->id);
     costs_.on_end(item->id);
+    if (message.outcome == mesh::attempt_outcome::not_run && message.why != mesh::reason::busy) {
+        refused_tenants_.add(item->call.tenant);
+    }
     message.stream = item->call.stream;
     message.load = load();
     counters_.add("endpoint_" + std::string{to_string(message.why)});
@@ -248,6 +253,8 @@
         {{"request", item.call.request_id},
          {"service", item.call.service},
          {"endpoint", item.call.endpoint_id},
+         {"tenant", item.call.tenant},
+         {"refused_before", item.call.refused_before},
          {"current_endpoint", tracker_.current().endpoint_id},
          {"reason", to_string(message.why)},
          {"running", gate_.running()},
--- a/src/sidecar/endpoint_service.h
+++ b/src/sidecar/endpoint_service.h
@@ -6,6 +6,7 @@
 #include "sidecar/endpoint_client.h"
 #include "sidecar/request_costs.h"
 #include "sidecar/settings.h"
+#include "sidecar/tenant_counts.h"
 
 namespace endive::sidecar {
 
@@ -44,6 +45,8 @@
     /// Costs of the requests that this daemon sends to any endpoint.
     [[nodiscard]] caller_costs& sent_costs() { return sent_costs_; }
     [[nodiscard]] const endpoint_costs& costs() const { return costs_; }
+    /// Refused calls by tenant.
+    [[nodiscard]] const tenant_counts& refused_tenants() const { return refused_tenants_; }
     [[nodiscard]] std::size_t open_jobs() const { return jobs_.size(); }
     [[nodiscard]] const std::vector<mesh::version_evidence>& evidence() const { return evidence_; }
     /// Queries the endpoint's health path for its identity while no heartbeat has reported it.
@@ -82,6 +85,7 @@
     mesh::repeat_meter repeats_;
     endpoint_costs costs_;
     caller_costs sent_costs_;
+    tenant_counts refused_tenants_;
     endpoint_client client_;
     std::function<void()> on_change_;
     key_check check_key_;
--- a/src/sidecar/forwarder.cpp
+++ b/src/sidecar/forwarder.cpp
@@ -20,6 +20,8 @@
 /// Callers detect within two readiness checks that a daemon is stopping; requests that arrive until then are
 /// served regardless of their deadline.
 constexpr duration stop_notice_time = milliseconds{2500};
+/// Maximum number of earlier refusals that a call message tells.
+constexpr std::uint32_t max_told_refusals = 255;
 /// Timeout of requests without a deadline header.
 constexpr milliseconds default_timeout{30000};
 
@@ -115,6 +117,8 @@
         returns_.on_arrival(item->route->name, item->target, item->caller_deadline, item->arrived);
     if (earlier) {
         counters_.add("returned_callers");
+        item->returned = mesh::return_tracker::is_on_time(*earlier, item->arrived);
+        counters_.add(item->returned ? "returned_as_told" : "returned_otherwise");
         item->refused_before = earlier->refusals;
         item->age = item->arrived - earlier->first_arrival;
     }
@@ -162,6 +166,7 @@
         call.tenant = item.caller_id.tenant->name;
         call.key_digest = item.caller_id.key_digest;
     }
+    call.refused_before = item.returned ? std::min(item.refused_before, max_told_refusals) : 0;
     call.kind = item.route->kind;
     call.repeated = std::any_of(item.attempts.begin(), item.attempts.end(),
                                 [](const attempt_trace& attempt) { return attempt.may_have_arrived(); });
--- a/src/sidecar/forwarder.h
+++ b/src/sidecar/forwarder.h
@@ -26,6 +26,8 @@
     /// Answers all open requests, since the process is about to end, and cancels their attempts.
     void end_requests();
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
+    /// Callers who were told when to come back and did not do so before their deadline.
+    [[nodiscard]] std::uint64_t missed_reservations() const { return returns_.missed(); }
     /// Time from arrival to response, of requests that an endpoint answered.
     [[nodiscard]] const latency_histogram& latency() const { return latency_; }
 
--- a/src/sidecar/forwarder_answers.cpp
+++ b/src/sidecar/forwarder_answers.cpp
@@ -67,8 +67,15 @@
     counters_.add("refused_" + std::string{to_string(why)});
     // A tenant over its quota gains no precedence from its refusals.
     if (item->route != nullptr && !over_quota) {
+        const auto now = clock_.now();
+        const bool useful = retry_after <= item->longest_retry_delay(now);
         returns_.on_refused(item->target, item->caller_deadline,
-                            {item->refused_before + 1, item->arrived - item->age}, clock_.now());
+                            {item->refused_before + 1, item->arrived - item->age,
+                             useful ? now + retry_after : time_point::max()},
+                            now);
+        if (item->refused_before > 0) {
+            counters_.add(item->returned ? "refused_again_as_told" : "refused_again");
+        }
     }
     if (!over_quota || !log_is_saturated()) {
         log_outcome(event::request_refused, *item, response.status, why);
--- a/src/sidecar/forwarder_options.cpp
+++ b/src/sidecar/forwarder_options.cpp
@@ -108,12 +108,14 @@
 void forwarder::remove_full(std::vector<endpoint_option>& options, active_request& item, time_point now) {
     item.skipped_full = 0;
     const auto facts = item.admission(now);
+    const auto position = stable_hash(item.request_id); // the same for all endpoints
     std::erase_if(options, [&](const endpoint_option& entry) {
         const auto wait =
             entry.remote == nullptr ? std::nullopt : entry.remote->refusals.expected_refusal(facts, now);
         if (wait) {
             ++item.skipped_full;
-            item.record_refusal(mesh::reason::no_room, *wait);
+            item.record_refusal(mesh::reason::no_room,
+                                fairness::spread_wait(*wait, item.longest_retry_delay(now), position));
             counters_.add("skipped_full");
         }
         return wait.has_value();
--- a/src/sidecar/messages.h
+++ b/src/sidecar/messages.h
@@ -33,7 +33,9 @@
     std::string tenant{};                       ///< empty without an API key
     std::uint64_t key_digest = 0;               ///< keyed digest of the API key; 0 without one
     std::chrono::microseconds expected_cost{0}; ///< at an endpoint of usual speed; zero when unknown
-    std::uint32_t refused_before = 0; ///< earlier attempts of the caller that were refused; at most 255
+    /// Earlier attempts of the caller that were refused, at most 255; 0 when the caller did not come back at
+    /// the time that it was told.
+    std::uint32_t refused_before = 0;
 };
 
 /// The caller of an earlier call message has disconnected.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -227,6 +227,8 @@
     out << "endive_endpoint_outstanding " << load.outstanding << "\n";
     out << "endive_accepted_connections_total " << callers_.accepted_connections() << "\n";
     out << "endive_link_use " << link_meter_.use() << "\n";
+    out << "endive_reservations_missed_total " << forwarder_.missed_reservations() << "\n";
+    local_.refused_tenants().write(out, "endive_refused_calls_total");
     out << "endive_peer_links " << peers_.link_count() << "\n";
     out << "endive_peer_connections " << peers_.connection_count() << "\n";
     if (const auto age = key_proofs_.age()) {
--- a/tests/sidecar/not_run_test.cpp
+++ b/tests/sidecar/not_run_test.cpp
@@ -2,6 +2,8 @@
 
 #include "sidecar/vm.h"
 
+#include <sstream>
+
 #include <catch2/catch.hpp>
 
 using namespace endive;
@@ -25,8 +27,10 @@
         service->update([](mesh::endpoint_tracker& tracker) { tracker.on_health("i-1", true, 4); });
         REQUIRE(service->tracker().is_ready());
     }
-    std::uint64_t execute(milliseconds remaining) {
+    std::uint64_t execute(milliseconds remaining, const std::string& tenant = {}) {
+        reply.reset();
         call_message call;
+        call.tenant = tenant;
         call.service = "books";
         call.endpoint_id = "i-1";
         call.method = "GET";
@@ -128,3 +132,20 @@
     CHECK(link->cancel(unsent));
     link->close();
 }
+
+// Load pattern: one tenant sends 60 calls at once to an endpoint of 4 slots. Guards against a call of another
+// tenant that is refused because of them.
+TEST_CASE("where one more call of a flooding tenant is refused, another tenant's call waits for a slot") {
+    service_fixture f;
+    for (int i = 0; i < 60; ++i) {
+        (void)f.execute(400ms, "flood");
+    }
+    REQUIRE(f.reply);
+    CHECK(f.reply->why == mesh::reason::no_room);
+    CHECK(f.reply->retry_after > 0ms);
+    (void)f.execute(400ms, "small");
+    std::ostringstream refused;
+    f.service->refused_tenants().write(refused, "refused");
+    CHECK(refused.str().starts_with("refused{tenant=\"flood\"} "));
+    CHECK(refused.str().find("small") == std::string::npos);
+}
