Do not count less urgent requests as load against urgent ones at the gate

Cause: a request that can no longer surely be on time is expected to be overtaken by later ones, by up to 30 times its wait in an overload. The load that decides this was that of all priorities, although less urgent requests never overtake. Change: the load is that of the request's own priority and of more urgent ones. Callers saw: urgent requests refused while less urgent ones started.

--- a/include/endive/mesh.h
+++ b/include/endive/mesh.h
@@ -585,8 +585,9 @@
     void start_waiting(std::vector<gate_action>& out, time_point now);
     void refuse_infeasible(std::vector<gate_action>& out, time_point now);
     void count_arrival(const gate_request& request, time_point now);
-    /// Offered load over the last few seconds; 1 uses all slots.
-    [[nodiscard]] double offered_load() const;
+    /// Offered load of requests of this priority and of more urgent ones over the last few seconds; 1 uses
+    /// all slots.
+    [[nodiscard]] double offered_load(std::uint32_t priority) const;
     /// Whether the response is expected before the target if the request starts now.
     enum class lateness : std::uint8_t { on_time, uncertain, late };
     [[nodiscard]] lateness lateness_of(const gate_request& request, time_point now) const;
@@ -596,8 +597,12 @@
     duration service_time_{0};
     duration long_term_service_time_{0}; ///< averaged over more responses
     double slowness_ = 0;
-    double responses_ = 0;    ///< number of responses, short ones counted in part
-    double arrival_rate_ = 0; ///< requests per second
+    double responses_ = 0; ///< number of responses, short ones counted in part
+    struct arrival_rate {
+        double per_second = 0;
+        time_point last{};
+    };
+    std::map<std::uint32_t, arrival_rate> arrivals_; ///< by priority
     time_point last_arrival_{};
     std::map<std::uint64_t, duration> running_;             ///< latency target by ticket
     std::vector<gate_request> queue_;                       ///< in order of arrival
--- a/src/mesh/gate.cpp
+++ b/src/mesh/gate.cpp
@@ -44,17 +44,24 @@
 }
 
 void endpoint_gate::count_arrival(const gate_request& request, time_point now) {
-    const double elapsed = std::chrono::duration<double>(now - last_arrival_).count();
-    arrival_rate_ = arrival_rate_ * std::exp(-elapsed / rate_window_s) + 1.0 / rate_window_s;
+    auto& rate = arrivals_[std::min(request.priority, max_levels)];
+    const double elapsed = std::chrono::duration<double>(now - rate.last).count();
+    rate = {rate.per_second * std::exp(-elapsed / rate_window_s) + 1.0 / rate_window_s, now};
     last_arrival_ = now;
     if (request.returned) {
         reservations_.on_return(now);
     }
 }
 
-double endpoint_gate::offered_load() const {
-    return arrival_rate_ * std::chrono::duration<double>(long_term_service_time_).count() /
-           std::max(1U, slots_);
+double endpoint_gate::offered_load(std::uint32_t priority) const {
+    double rate = 0;
+    for (const auto& [level, arrivals] : arrivals_) {
+        if (level <= priority) {
+            const double elapsed = std::chrono::duration<double>(last_arrival_ - arrivals.last).count();
+            rate += arrivals.per_second * std::exp(-elapsed / rate_window_s);
+        }
+    }
+    return rate * std::chrono::duration<double>(long_term_service_time_).count() / std::max(1U, slots_);
 }
 
 std::vector<gate_action> endpoint_gate::set_ready(bool ready, time_point now) {
--- a/src/mesh/gate_order.cpp
+++ b/src/mesh/gate_order.cpp
@@ -160,13 +160,18 @@
         return;
     }
     const auto order = ordered_queue(now);
-    const double yield_factor = yield_factor_at(offered_load());
+    auto level = order.front().priority;
+    double yield_factor = yield_factor_at(offered_load(level));
     std::size_t position = 0;
     for (const auto& waiting : order) {
         const auto wait = expected_wait(position);
         auto arrival = waiting;
         arrival.target = now + waiting.latency_target;
         const bool yields = lateness_of(waiting, now + wait) > lateness_of(arrival, now);
+        if (waiting.priority != level) {
+            level = waiting.priority;
+            yield_factor = yield_factor_at(offered_load(level));
+        }
         const double factor = waiting.returned ? std::min(yield_factor, returned_yield_factor) : yield_factor;
         const auto start = now + (yields ? scaled(wait, factor) : wait);
         if (start + scaled(expected_service_time(waiting), min_feasible_share) > waiting.deadline) {
--- a/tests/mesh/overload_test.cpp
+++ b/tests/mesh/overload_test.cpp
@@ -1,6 +1,7 @@
 // Admission at an endpoint whose callers come back once after a refusal. The thresholds are what callers need
 // and what the gate reached before it kept reservations, on the same arrivals.
 
+#include "mesh/load_model.h"
 #include "mesh/overload_model.h"
 
 #include <cmath>
@@ -125,6 +126,23 @@
     }
 }
 
+// Load pattern: requests of two priorities at three times the capacity of a slow endpoint; the urgent ones
+// alone use 45 % or 75 % of it, and some are retries. Guards against urgent requests that are refused because
+// less urgent ones are expected to overtake them: 0.69 to 0.93 of the urgent ones were served.
+TEST_CASE("an overload of less urgent requests does not count against urgent ones") {
+    for (const double urgent : {0.15, 0.25}) {
+        for (const double retried : {0.0, 0.3, 0.6}) {
+            test::load_settings settings;
+            settings.rate = 144;
+            settings.urgent_share = urgent;
+            settings.retried_share = retried;
+            settings.service_time = 250ms;
+            const auto result = test::run_load(settings);
+            CHECK(result.urgent_served > 0.98 * result.urgent_offered);
+        }
+    }
+}
+
 // Load pattern: more waiting requests than the queue holds, all of one tenant. Guards against a full queue
 // that refuses the first request of another tenant.
 TEST_CASE("a full queue makes room for a tenant that uses less") {
