--- a/tests/tenants/quota_fleet.h
+++ b/tests/tenants/quota_fleet.h
@@ -239,7 +239,7 @@
             });
         }
     }
-    void send(std::size_t from, std::size_t to, std::vector<quota_ask> entries,
+    void send(std::size_t from, std::size_t to, const std::vector<quota_ask>& entries,
               std::function<void(node&)> receive) {
         ++messages_;
         if (on_message) {
@@ -301,7 +301,9 @@
         for (auto& ask : item.client.take_asks(now_)) {
             by_coordinator[item.view.coordinator_of(ask.tenant)].push_back(std::move(ask));
         }
-        for (auto& [name, asks] : by_coordinator) {
+        for (const auto& group : by_coordinator) {
+            const auto& name = group.first;
+            const auto& asks = group.second;
             if (name == item.name) {
                 for (const auto& ask : asks) {
                     item.client.on_lease(item.coordinator.on_ask(ask, item.view, now_), now_, now_);
