Accept empty texts in the settings about tenants

Cause: the reader of settings rejects an empty string, so that no daemon started where the platform leaves these settings out. Change: they are read as texts that may be empty.

--- a/include/endive/base.h
+++ b/include/endive/base.h
@@ -248,6 +248,8 @@
     [[nodiscard]] bool has(const std::string& key) const { return object_.contains(key); }
     [[nodiscard]] std::string required_string(const std::string& key);
     [[nodiscard]] std::string optional_string(const std::string& key, const std::string& fallback);
+    /// A string that may be empty; empty when the key is absent.
+    [[nodiscard]] std::string optional_text(const std::string& key);
     [[nodiscard]] std::int64_t optional_integer(const std::string& key, std::int64_t fallback,
                                                 std::int64_t minimum, std::int64_t maximum);
     [[nodiscard]] std::int64_t required_integer(const std::string& key, std::int64_t minimum,
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -76,6 +76,17 @@
     return find(key) == nullptr ? fallback : required_string(key);
 }
 
+std::string settings_reader::optional_text(const std::string& key) {
+    const json* value = find(key);
+    if (value == nullptr) {
+        return {};
+    }
+    if (!value->is_string()) {
+        fail(result_code::settings_wrong_type, location_of(key), *value, "a string");
+    }
+    return value->get<std::string>();
+}
+
 std::int64_t settings_reader::required_integer(const std::string& key, std::int64_t minimum,
                                                std::int64_t maximum) {
     const auto allowed = "an integer from " + std::to_string(minimum) + " to " + std::to_string(maximum);
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 milliseconds read_duration(settings_reader& reader, const std::string& key, milliseconds default_value) {
-    const auto text = reader.optional_string(key, {});
+    const auto text = reader.optional_text(key);
     if (text.empty()) {
         return default_value;
     }
@@ -21,7 +21,7 @@
 
 /// A number that the platform may leave out; its template then has an empty text.
 double read_number_text(settings_reader& reader, const std::string& key, double default_value, double max) {
-    const auto text = reader.optional_string(key, {});
+    const auto text = reader.optional_text(key);
     if (text.empty()) {
         return default_value;
     }
@@ -38,7 +38,7 @@
 
 /// The same for a condition.
 bool read_boolean_text(settings_reader& reader, const std::string& key, bool default_value) {
-    const auto text = reader.optional_string(key, {});
+    const auto text = reader.optional_text(key);
     if (text.empty() || text == "true" || text == "false") {
         return text.empty() ? default_value : text == "true";
     }
