Give the quota parts of daemons that have stopped to the others

Cause: a daemon that was replaced counted among the known ones for 60 s, so that the others admitted less than the quota; and a daemon that had just started refused the requests of all tenants with a limit for 1.5 s. Change: a daemon that announced its stop and has been gone for the grace period no longer counts; the time after a start is 0.7 s once the members are known.

--- a/src/sidecar/quota_service.cpp
+++ b/src/sidecar/quota_service.cpp
@@ -8,8 +8,9 @@
 constexpr duration view_interval = milliseconds{100};
 /// Time between two log lines about the refusals of a tenant.
 constexpr duration report_interval = std::chrono::seconds{1};
-/// Links to the other daemons are up this long after the start.
-constexpr duration settling_time = milliseconds{1500};
+/// Most links to the other daemons are up this long after the start. Requests of tenants with a limit are
+/// refused until then.
+constexpr duration settling_time = milliseconds{700};
 /// Without the store, the others have connected to a daemon that has restarted after this time.
 constexpr duration settling_time_without_store = std::chrono::seconds{5};
 
@@ -36,7 +37,7 @@
                              const sidecar_settings& settings, peer_set& peers)
     : clock_{clock}, counters_{counters}, peers_{peers}, view_{settings.name, settings.link_mbps},
       coordinator_{{settings.quota_window, settings.quota_overage, settings.quota_slack}, settings.name},
-      started_{clock.now()} {}
+      stop_grace_{settings.stop_grace}, started_{clock.now()} {}
 
 void quota_service::set_configuration(const mesh::configuration& configuration) {
     const auto now = clock_.now();
@@ -194,13 +195,15 @@
 void quota_service::update_view(time_point now) {
     next_view_ = now + view_interval;
     std::vector<tenants::quota_view::candidate> linked;
+    std::size_t present = 1;
     for (const auto& [name, entry] : peers_.peers()) {
+        present += has_ended(entry, now) ? 0 : 1;
         if (entry.link && !entry.about.stopping) {
             linked.push_back({name, entry.about.link_mbps});
         }
     }
     const auto needed = members_known_ ? settling_time : settling_time_without_store;
-    const auto known = now - started_ < needed ? 0 : peers_.peers().size() + 1;
+    const auto known = now - started_ < needed ? 0 : present;
     if (!view_.update(linked, known, !peers_.self().stopping, now)) {
         return;
     }
@@ -212,6 +215,13 @@
                                     {"daemons", known}});
 }
 
+/// True for a daemon that announced its end and has been gone for longer than the end may take: it admits no
+/// request, and its part of the quotas belongs to the others.
+bool quota_service::has_ended(const peer& entry, time_point now) const {
+    return entry.about.stopping && !entry.link && entry.unreachable_since &&
+           now - *entry.unreachable_since > stop_grace_;
+}
+
 /// Asks all daemons to delegate their parts of the quotas.
 void quota_service::probe(time_point now) {
     next_probe_ = now + tenants::quota_probe_interval;
--- a/src/sidecar/quota_service.h
+++ b/src/sidecar/quota_service.h
@@ -43,6 +43,7 @@
         duration retry_after{0};
     };
     void update_view(time_point now);
+    [[nodiscard]] bool has_ended(const peer& entry, time_point now) const;
     void probe(time_point now);
     void flush(time_point now);
     void send(const std::string& coordinator, const std::vector<tenants::quota_ask>& asks, time_point now);
@@ -62,6 +63,7 @@
     std::map<std::uint64_t, parked> parked_; ///< the earliest first
     std::uint64_t next_parked_ = 1;
     bool members_known_ = false;
+    duration stop_grace_;
     time_point started_;
     time_point next_view_{};
     time_point next_probe_{};
