Use the gate's scaling of durations for the retries too

Cause: the split of gate.cpp left a second copy of `scaled` in retry.cpp. Change: retry.cpp uses the one of gate_parts.h; the imports of test_moves.py are in order. Behaviour is unchanged. Measured: test_mesh passes.

--- a/src/mesh/gate_parts.h
+++ b/src/mesh/gate_parts.h
@@ -1,5 +1,5 @@
 #pragma once
-// Shared by the parts of the gate.
+// Shared by the gate and the retries.
 
 #include "endive/mesh.h"
 
--- a/src/mesh/retry.cpp
+++ b/src/mesh/retry.cpp
@@ -1,4 +1,4 @@
-#include "endive/mesh.h"
+#include "mesh/gate_parts.h"
 
 #include <algorithm>
 
@@ -22,10 +22,6 @@
 /// another endpoint.
 constexpr double overdue_ratio = 0.65;
 
-duration scaled(duration value, double factor) {
-    return duration{static_cast<duration::rep>(static_cast<double>(value.count()) * factor)};
-}
-
 } // namespace
 
 bool retry_budget::take(std::uint32_t refused_before, bool comes_back) {
--- a/tests/integration/test_moves.py
+++ b/tests/integration/test_moves.py
@@ -1,7 +1,8 @@
 """Version moves with real processes: good versions get all traffic, bad ones are contained and taken back."""
-import pytest
 import datetime
 
+import pytest
+
 from harness import Fleet, wait_until
 from mesh import accept, admin_get, answers, start_mesh, status, wait_endpoints, wait_version
 
